Wait at a restart for clients that come after a moment without any

Design: the event that a stopping proxy waits for means that no client is left and none can come. So it is set only once the listening socket is closed, not whenever the last client of the moment leaves.

Ruled out: the accept queue (the connection was accepted), the time left for finishing (0 s used of the longest deadline), an error on the connection (no "bug" line in any log).

At fault: `if self.stopping and not self.held: self.empty.set()` in Frontend._freed.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -359,7 +359,8 @@
     def _freed(self) -> None:
         self.held -= 1
         self._accept_on()
-        if self.stopping and not self.held:
+        # While connections still come, none being here says nothing of whether one more will be.
+        if self.sock is None and not self.held:
             self.empty.set()
 
     def _sweep(self) -> None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -467,3 +467,28 @@
                 await p.client()
 
     run(test())
+
+
+def test_one_that_comes_when_all_others_have_left_a_stopping_proxy_is_waited_for() -> None:
+    """A moment without connections, in the time in which new ones still come, is not the end of them."""
+
+    async def test() -> None:
+        async with proxy() as p:
+            first = await p.client()
+            p.frontend.stop_keeping()
+            await first.ask("/health/ready", "GET")
+            first.close()
+            while p.frontend.held:
+                await asyncio.sleep(0)
+            last = await p.client()
+            last.send()
+            call = await p.backends[0].calls.get()
+            ended = asyncio.create_task(p.frontend.finish(30.0))
+            await asyncio.sleep(0)
+            assert not ended.done()
+            call.reply(b"last")
+            assert (await last.reply()).body == b"last"
+            last.close()
+            await ended
+
+    run(test())
