Let time-outs show one of many proxies an overload, and shed late-bound work first

Design: the detector's flag keeps its meaning and its levels. One of many finds its own buffer mostly empty, so its excess is also the smoothed share of its outcomes that were spoilt over a bound. That reaches level 4 only (level 3 goes from three times the bound on).

At fault: on_arrival judged overload by waits at the proxy alone, and LONG_WORTH left long work of the best class at level 3.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -67,7 +67,8 @@
 COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple
 
 HEAVY = 0.35  # part of the aim that work may usually take on a server's kind and still be sent to it
-LONG_WORTH = 0.4  # part of the worth that work expected to last beyond its aim is taken to bring
+LONG = 1.0, 0.4  # part of the aim beyond which work is expected to last; part of its worth it then brings
+LONG_MANY = 0.6, 0.2  # the same for one of many: where they share servers, half of what takes so long is late
 PACE_STEP = 1 / 32  # weight of one answer in a kind's pace
 FIT_LEAST = 3  # times the servers of such a kind must make up what a proxy keeps to: few would be swamped
 PACE_TIE = 1.15  # times the fastest pace: kinds this close are as fast
@@ -79,6 +80,9 @@
 ALLOW_BURST = 4.0  # requests, beyond the limit, that may be in flight at once after idling
 ALLOW_LEAST = 0.05  # least such limit: one request in twenty usual latencies still looks
 SPOILT = 0.85  # part of the aim: an answer beyond it was crowded, the way to the client takes the rest
+SPOILT_SHARE = (
+    0.15  # of its outcomes, above which one of many counts itself overloaded: a few are always long
+)
 FORGET = 0.1  # part of the way back to the usual payoff in a second without outcomes
 OVER_LEAST = 5.0  # least requests of quota that a tenant may use at once: chance must not look like excess
 
@@ -247,6 +251,7 @@
         self.active: list[Server] = []
         self.near: list[Server] = []  # those it sends to: all active, or as one of many its own few
         self.near_size, self.each = 0, 0.0  # how many it keeps to; least limit of one
+        self.spoilt = 0.0  # smoothed share of outcomes that were spoilt, as one of many
         self.allow = 1.0  # limit on all requests in flight, as one of many proxies
         self.credit, self.credit_at, self.out_count = 1e9, 0.0, 0  # ms in flight still to use; attempts out
         self.pace: dict[int, float] = {}  # smoothed latency over the work hinted at, by kind
@@ -331,7 +336,8 @@
             excess = endpoint.excess(now)
             if self.sparse:  # its buffer is mostly empty, and few waits are seen: the wait to come counts
                 wait = -self.refill_credit(now) * self.all_latency / self.allow
-                excess = max(excess, wait / endpoint.threshold())
+                # And what one of many has too much of waits in the servers, where only time-outs show it.
+                excess = max(excess, wait / endpoint.threshold(), self.spoilt / SPOILT_SHARE)
             endpoint.flag(now, excess > 1)
             # Level 3 goes in proportion to the wait beyond the flag. Level 4 goes as soon as it is set and
             # comes back by degrees: let in at once, it would fill the servers up to the next flag.
@@ -348,8 +354,9 @@
 
     def level_of(self, now: float, spec: RequestClass, tenant: int, work: float = 0.0) -> int:
         worth = spec.worth / self.best_worth
-        if work * min(self.pace.values(), default=0.0) > spec.aim_ms:
-            worth *= LONG_WORTH  # on the fastest kind it is usually late: for the same work, others earn more
+        part, brings = LONG_MANY if self.sparse else LONG
+        if work * min(self.pace.values(), default=0.0) > part * spec.aim_ms:
+            worth *= brings  # on the fastest kind it is usually late: for the same work, others earn more
         if tenant < len(self.quota_left):
             rate = self.settings.quotas[tenant] * self.part  # the quota is for all proxies together
             left = self.quota_left[tenant] + (now - self.quota_at[tenant]) * rate / 1000
@@ -463,7 +470,9 @@
         """One of many proxies has less than one request at each server: only a limit on all it has in flight
         can follow the load, and only outcomes of all servers together are enough to learn it from. Work
         differs tenfold within a class: only the aim, not a usual latency, tells a long answer from a late."""
-        if result in (Result.FULL, Result.TIMEOUT) or delay > SPOILT * request.endpoint.aim:
+        spoilt = result in (Result.FULL, Result.TIMEOUT) or delay > SPOILT * request.endpoint.aim
+        self.spoilt += (spoilt - self.spoilt) * LATENCY_STEP
+        if spoilt:
             if server.payoff > self.usual_payoff() / 2:  # a server known to be bad tells nothing of the rest
                 self.allow = max(ALLOW_LEAST, self.allow * (1 - ALLOW_DOWN))
         elif result is Result.OK and self.allow < 2 + 2 * self.out_count:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from flintlatch.api import ListKind, RequestClass, Result, ServerInfo, ServerList
-from tests.support import Driver, fleet, settings
+from flintlatch.api import Arrival, ListKind, Refuse, RequestClass, Result, ServerInfo, ServerList
+from tests.support import Driver, fleet, of, settings
 
 MANY = {"proxies": 300, "zones": 2}
 
@@ -194,3 +194,56 @@
     driver.step(ServerList(ListKind.FULL, tuple(fleet(40))))
     driver.beats(100)
     assert driver.sends[driver.arrive()]
+
+
+def ask(driver: Driver, work: float, cls: int = 0) -> str:
+    name = f"w{next(driver.ids)}"
+    driver.last = driver.step(Arrival(name, cls, 0, None, driver.now + 2000.0, False, work))
+    return name
+
+
+def answers(driver: Driver, n: int, work: float, pace: float) -> None:
+    for _ in range(n):
+        driver.end(ask(driver, work), after=40.0, delay=work * pace)
+        driver.beat(after=60.0)
+
+
+def time_outs(driver: Driver, n: int, work: float) -> None:
+    """On servers with room, so that nothing waits at the proxy."""
+    for _ in range(n):
+        request = ask(driver, work)
+        if request in driver.sends:
+            driver.end(request, Result.TIMEOUT, after=300.0, done=True)
+        driver.beats(2000)
+
+
+@pytest.mark.parametrize(("worth", "level"), [(5.0, 4), (10.0, 4)])
+def test_of_many_time_outs_work_that_will_be_late_is_refused_first(worth: float, level: int) -> None:
+    """A sparse proxy's buffer is empty while servers all proxies share are full: work that none of them
+    could finish in time went on being sent, and kept others from finishing."""
+    classes = (RequestClass(300.0, 2000.0, worth=worth), RequestClass(300.0, 2000.0, worth=10.0))
+    driver = Driver(settings(*classes, **MANY), *fleet(40))
+    answers(driver, 20, 10.0, 2.0)
+    assert driver.balancer.level_of(driver.now, classes[0], 0, 400.0) == level
+    assert ask(driver, 400.0) in driver.sends  # no overload: why not try
+    time_outs(driver, 8, 10.0)
+    late = ask(driver, 400.0)
+    assert late not in driver.sends and of(Refuse, driver.last)
+    assert ask(driver, 10.0) in driver.sends
+
+
+def test_overload_is_over_once_answers_come_in_time_again() -> None:
+    driver = Driver(settings(RequestClass(300.0, 2000.0), **MANY), *fleet(40))
+    answers(driver, 20, 10.0, 2.0)
+    time_outs(driver, 8, 10.0)
+    answers(driver, 40, 10.0, 2.0)
+    assert ask(driver, 400.0) in driver.sends
+
+
+def test_what_takes_most_of_its_aim_on_the_fastest_kind_is_taken_for_late_by_one_of_many_only() -> None:
+    spec = RequestClass(300.0, 2000.0)
+    for proxies, level in ((300, 4), (3, 1)):
+        driver = Driver(settings(spec, proxies=proxies), *fleet(40))
+        answers(driver, 60, 40.0, 1.0)
+        assert driver.balancer.level_of(driver.now, spec, 0, 220.0) == level
+        assert driver.balancer.level_of(driver.now, spec, 0, 120.0) == 1
