Learn a kind's pace within ten outcomes, and from time-outs too, as one of many

Design: the weight of one outcome in a kind's pace is 1/10 for one of many, 1/32 for several. An attempt that timed out on a warm server shows that its kind took at least so long for its work.

At 8 requests a second, 32 answers are four seconds. Those that took longest taught nothing: an attempt that timed out had no latency.

At fault: learn_pace's step, chosen for proxies with five times the traffic, and learn, which let time-outs pass.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -69,7 +69,7 @@
 HEAVY = 0.35  # part of the aim that work may usually take on a server's kind and still be sent to it
 LONG = 1.0, 0.4  # part of the aim beyond which work is expected to last; part of its worth it then brings
 LONG_MANY = 0.6, 0.2  # the same for one of many: where they share servers, half of what takes so long is late
-PACE_STEP = 1 / 32  # weight of one answer in a kind's pace
+PACE_STEP, PACE_STEP_FEW = 1 / 32, 1 / 10  # weight of one answer in a kind's pace; for one of many
 FIT_LEAST = 3  # times the servers of such a kind must make up what a proxy keeps to: few would be swamped
 PACE_TIE = 1.15  # times the fastest pace: kinds this close are as fast
 COLD_PACE = 2.0  # times its kind's pace that a cold server is taken to need
@@ -445,6 +445,8 @@
             return
         if result in (Result.FULL, Result.TIMEOUT):
             server.cut(FAIL_CUT)
+            if self.sparse and request.work > 0 and server.cold_until <= now:  # at least so slow
+                self.learn_pace(server.kind, max(delay / request.work, self.pace.get(server.kind, 0.0)))
         server.strikes += 1
         # Seldom met, a server that fails every other request seldom fails three in a row.
         if self.sparse and self.settings.may_tell and result in FAULTS:
@@ -489,7 +491,7 @@
         """By kind: hints are rough, and one server alone is met too seldom. Smoothed by its logarithm, since
         a hint may be tenfold off either way."""
         known = self.pace.get(kind, pace)
-        self.pace[kind] = known * (pace / known) ** PACE_STEP
+        self.pace[kind] = known * (pace / known) ** (PACE_STEP_FEW if self.sparse else PACE_STEP)
 
     def fit(self, now: float, request: Request, room: list[Server]) -> list[Server]:
         """Those of a kind on which work of this size is usually done well inside the aim; where there is no
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -240,6 +240,23 @@
     assert ask(driver, 400.0) in driver.sends
 
 
+def test_one_of_many_learns_within_ten_outcomes_that_a_kind_has_slowed() -> None:
+    driver = Driver(settings(RequestClass(300.0, 2000.0), **MANY), *fleet(40))
+    answers(driver, 40, 40.0, 1.0)
+    answers(driver, 10, 40.0, 4.0)
+    assert 2.0 < driver.balancer.pace[0] < 4.0
+
+
+def test_a_time_out_shows_that_a_kind_is_at_least_so_slow() -> None:
+    driver = Driver(settings(RequestClass(300.0, 2000.0), **MANY), *fleet(40))
+    answers(driver, 40, 40.0, 1.0)
+    time_outs(driver, 10, 75.0)
+    slowed = driver.balancer.pace[0]
+    assert slowed > 2.0
+    time_outs(driver, 3, 2000.0)  # a short wait for long work says nothing
+    assert driver.balancer.pace[0] >= slowed
+
+
 def test_what_takes_most_of_its_aim_on_the_fastest_kind_is_taken_for_late_by_one_of_many_only() -> None:
     spec = RequestClass(300.0, 2000.0)
     for proxies, level in ((300, 4), (3, 1)):
