Let attempts that hang at one server use up little of the limit on all in flight

Design: the limit on all in flight holds on average, so the time of each attempt is taken from a credit. Of a failure that is the server's own (no connection, reset, error) nothing is taken any more, of any other attempt four usual latencies at most. Where all are slow the usual latency is long too, and the limit binds as before.

At fault: `self.credit -= event.delay` in on_outcome, whatever the attempt met.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -79,6 +79,7 @@
 ALLOW_UP, ALLOW_DOWN = 0.1, 0.2  # steps of its limit on all in flight: at one, level where a third are spoilt
 ALLOW_BURST = 4.0  # requests, beyond the limit, that may be in flight at once after idling
 ALLOW_LEAST = 0.05  # least such limit: one request in twenty usual latencies still looks
+HANG = 4.0  # usual latencies, beyond which an attempt hangs at its own server: no sign that all are full
 SPOILT = 0.85  # part of the aim: an answer beyond it was crowded, the way to the client takes the rest
 SPOILT_SHARE = (
     0.15  # of its outcomes, above which one of many counts itself overloaded: a few are always long
@@ -397,7 +398,8 @@
         request.open -= 1
         attempt.server.inflight -= 1  # also of one given up: work stops when its connection closes
         self.out_count -= 1
-        self.credit -= event.delay
+        if event.result not in FAULTS:  # no work was in flight there, or it has ended
+            self.credit -= min(event.delay, HANG * (self.all_latency or event.delay))
         self.learn(now, request, attempt.server, event)
         if event.finished or request.over:
             self.close(request)
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -264,3 +264,32 @@
         answers(driver, 60, 40.0, 1.0)
         assert driver.balancer.level_of(driver.now, spec, 0, 220.0) == level
         assert driver.balancer.level_of(driver.now, spec, 0, 120.0) == 1
+
+
+@pytest.mark.parametrize(
+    ("result", "delay", "times"), [(Result.TIMEOUT, 650.0, 1), (Result.CONNECT_FAILED, 150.0, 2)]
+)
+def test_a_server_that_hangs_does_not_use_up_the_limit_on_all_in_flight(
+    result: Result, delay: float, times: int
+) -> None:
+    """Time spent on a silent one was counted as load: the next half second waited beside idle servers."""
+    driver = Driver(settings(RequestClass(900.0, 5000.0), **MANY), *fleet(40))
+    crowd(driver, 20, 40.0)
+    driver.balancer.allow = 1.0
+    driver.beats(1000)
+    for _ in range(times):
+        driver.end(driver.arrive(wait=5000), result, after=0.0, delay=delay, done=True)
+    assert driver.arrive(wait=5000) in driver.sends
+
+
+def test_answers_that_all_take_long_do_use_it_up() -> None:
+    driver = Driver(settings(RequestClass(900.0, 5000.0), **MANY), *fleet(40))
+    crowd(driver, 60, 400.0)
+    driver.balancer.allow = 0.5
+    sent = []
+    for _ in range(20):
+        request = driver.arrive(wait=5000)
+        sent.append(request in driver.sends)
+        if sent[-1]:
+            driver.end(request, after=0.0, delay=400.0)
+    assert 1 <= sum(sent) <= 6
