Keep to at least 8 servers instead of 12 as one of many: few requests teach little

Design: one of many keeps to 8 servers, and to more as its limit on all in flight grows (two for each request, and two more, as before). The floor had been chosen for 40 proxies with some 40 requests a second each.

Seen: 200 proxies get 7 to 10 requests a second each, so that each of 12 servers brings a proxy 0.7 outcomes a second, less than it takes to tell a slow server apart before its trouble is over, and each has a handshake of its own.

At fault: NEAR = 12.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -75,7 +75,7 @@
 COLD_PACE = 2.0  # times its kind's pace that a cold server is taken to need
 
 # "One of many" is a proxy whose part of START_LIMIT is under one request: it cannot judge a server alone.
-NEAR = 12  # servers that such a proxy keeps to: enough to choose from, few enough to know
+NEAR = 8  # servers that it keeps to at least: with a few requests a second it learns of no more in time
 ALLOW_UP, ALLOW_DOWN = 0.1, 0.2  # steps of its limit on all in flight: at one, level where a third are spoilt
 ALLOW_BURST = 4.0  # requests, beyond the limit, that may be in flight at once after idling
 ALLOW_LEAST = 0.05  # least such limit: one request in twenty usual latencies still looks
