Notice clients that leave while their connection is not read or their answers wait

Design: a client has left when its side of the connection is closed, whether or not the loop reads it. Connections on which so much was sent ahead that reading is paused are looked at every 0.1 s; a request that waited behind another, or in the kernel, is looked at once more as it is taken; and the end of a client's side counts as it is read, not when all that is written to it is out.

Seen, by a probe on loopback that is now the tests: three requests sent ahead on one connection, which is closed then. Reading is paused at two that wait (`len(self.queue) >= PIPELINED`), so uvloop tells of no end, and no ClientGone came while the first waited in the buffer; with the first at a backend, its answer had the second taken and sent on: Arrival c1, (client closes), Outcome c1, Arrival c2, Send c2 however long ago the client had left. Ruled out: connections that are read, whose end comes in the same turn as their last bytes (a request and its end read at once are Arrival and ClientGone of one step, and nothing is sent).

At fault: Client._go_on pausing without anybody looking at the connection; Client._take handing on what was queued; no eof_received, so that the end came with connection_lost, behind all unread answers.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -12,7 +12,7 @@
 
 from flintlatch.net.clock import now_ms
 from flintlatch.net.engine import Answer, Engine, log
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, split_address, unread
+from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, hung_up, split_address, unread
 from flintlatch.net.request import Bad, Message, Reader, check_framing
 
 BACKLOG = 512
@@ -23,6 +23,9 @@
 BAD_IN_A_ROW = 8  # refused requests after which a connection closes: one that only errs must come anew
 WHOLE_S = 2.0  # s from connecting, or from its first byte, in which a request must be here whole: 3 are owed
 SWEEP_S = 0.25  # s between looks at what is late
+# s between looks at connections that are not read for now: their end is not told, and 0.3 s after its client
+# left a request must not be sent any more.
+PAUSED_LOOK_S = 0.1
 IDLE_S = 30.0  # s that a kept connection may idle while there are places to spare
 IDLE_FULL_S = 2.0  # s, while over half of the places are taken
 SPARE_MS = 250.0  # ms in which a new connection is spared at the cap: its first request is on the way
@@ -62,11 +65,19 @@
         self.frontend.clients.add(self)
         self.frontend.put(self, self.frontend.waiting)
 
+    def eof_received(self) -> None:
+        # The transport closes now, but is lost only when all that waits to be written is out.
+        self._leave()
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closing = True
-        self.queue.clear()
-        self.rest, self.parser = b"", None  # it holds this connection in turn: nothing should wait for the GC
+        self._leave()
+        self.parser = None  # it holds this connection in turn: nothing should wait for the GC
         self.frontend.lost(self)
+
+    def _leave(self) -> None:
+        """Nobody waits here any more for what was asked on this connection."""
+        self.closing, self.rest = True, b""
+        self.queue.clear()
         if self.request_id is not None:
             self.frontend.engine.client_gone(self.request_id)
             self.request_id = None
@@ -100,7 +111,9 @@
         if not self.closing:
             if len(self.queue) >= PIPELINED or len(self.rest) > PIECE:
                 self.transport.pause_reading()
+                self.frontend.watch_paused(self)
             else:
+                self.frontend.paused.discard(self)
                 self.transport.resume_reading()
 
     def _feed(self, piece: bytes) -> None:
@@ -194,6 +207,10 @@
 
     def _take(self, message: Message) -> None:
         frontend = self.frontend
+        if hung_up(self.transport):  # it has waited behind others or in the kernel, and its client has left
+            self._leave()
+            self.transport.close()
+            return
         if message.target.split(b"?", 1)[0] == READY_PATH:
             if message.method != b"GET":
                 raise Bad(405)
@@ -237,6 +254,7 @@
         connection and the client could lose its answer; so the client gets a moment to close first."""
         self.closing, self.rest = True, b""
         self.queue.clear()
+        self.frontend.paused.discard(self)
         self.transport.resume_reading()
         self.transport.write_eof()
         self.frontend.put(self, self.frontend.ending)
@@ -253,6 +271,7 @@
         self.waiting: dict[Client, float] = {}  # owe a whole request: new ones, and half-read ones
         self.idle: dict[Client, float] = {}  # kept between two requests
         self.ending: dict[Client, float] = {}  # have their last answer, and a moment to read it
+        self.paused: set[Client] = set()  # not read for now, so that their leaving is not told
         self.held = 0  # descriptors of clients, those just accepted and those just closing included
         self.opening: set[asyncio.Task[object]] = set()
         self.stopping = self.accepting = False
@@ -260,6 +279,7 @@
         self.sock: socket.socket | None = None
         self.address = ""  # where it listens
         self.sweeper: asyncio.TimerHandle | None = None
+        self.looker: asyncio.TimerHandle | None = None
 
     def listen(self, address: str) -> None:
         host, port = split_address(address)
@@ -354,6 +374,7 @@
     def lost(self, client: Client) -> None:
         self.put(client, None)
         self.clients.discard(client)
+        self.paused.discard(client)
         self._freed()
 
     def _freed(self) -> None:
@@ -374,6 +395,19 @@
             if not unread(client.transport):
                 client.transport.close()
 
+    def watch_paused(self, client: Client) -> None:
+        self.paused.add(client)
+        if self.looker is None:
+            self.looker = self.loop.call_later(PAUSED_LOOK_S, self._look_at_paused)
+
+    def _look_at_paused(self) -> None:
+        self.looker = None
+        for client in list(self.paused):
+            if hung_up(client.transport):
+                client.transport.abort()
+            else:
+                self.watch_paused(client)
+
     @staticmethod
     def _over(places: dict[Client, float], limit_s: float) -> list[Client]:
         oldest, late = now_ms() - limit_s * 1000, []
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -28,9 +28,18 @@
     """Whether the kernel holds bytes, or the end, of this connection that the loop has not read yet."""
     if transport.is_closing():
         return False  # its descriptor may be another's by now
+    return _polled(transport, select.POLLIN | select.POLLRDHUP)
+
+
+def hung_up(transport: asyncio.Transport) -> bool:
+    """Whether the other side has closed or reset this connection, also while nothing is read from it."""
+    return transport.is_closing() or _polled(transport, select.POLLRDHUP)
+
+
+def _polled(transport: asyncio.Transport, events: int) -> bool:
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-    return bool(poll.poll(0))
+    poll.register(transport.get_extra_info("socket").fileno(), events)
+    return bool(poll.poll(0))  # an error and a reset are told unasked
 
 
 class Response(NamedTuple):
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -29,8 +29,10 @@
     Watch,
 )
 from flintlatch.net import engine as engine_module
+from flintlatch.net import frontend as frontend_module
 from flintlatch.net.clock import now_ms
-from tests.loopback import proxy, run
+from flintlatch.net.http1 import hung_up
+from tests.loopback import Client, proxy, run
 
 Step = Callable[[list[Any]], list[Action]]
 
@@ -211,6 +213,69 @@
     run(test())
 
 
+def sent_ahead(client: Client, *ids: str) -> None:
+    for name in ids:
+        client.send(x_call_id=name)
+
+
+def test_a_client_that_leaves_is_noticed_while_its_connection_is_not_read(script: type[Script]) -> None:
+    # It sent so much ahead that nothing more is read, not even the end: its first request waits here.
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            sent_ahead(client, "c1", "c2", "c3")
+            await until(lambda: p.frontend.paused)
+            client.close()
+            await until(lambda: events(ClientGone))
+            assert events(ClientGone) == [ClientGone("c1")]
+            await until(lambda: not p.frontend.clients)
+            assert [e.request for e in events(Arrival)] == ["c1"]
+
+    run(test())
+
+
+def test_what_waited_behind_another_is_not_taken_once_its_client_has_left(
+    script: type[Script], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(frontend_module, "PAUSED_LOOK_S", 1000.0)  # this test is about the moment of taking
+    script.act = each(Arrival, lambda e: [Send(e.request, "s0", 9000.0)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            sent_ahead(client, "c1", "c2", "c3")
+            call = await p.backends[0].calls.get()
+            await until(lambda: p.frontend.paused)
+            (inside,) = p.frontend.clients
+            client.close()
+            await until(lambda: hung_up(inside.transport))
+            call.reply()
+            await until(lambda: not p.frontend.clients)
+            assert [e.request for e in events(Arrival)] == ["c1"]
+            assert p.backends[0].calls.empty()
+
+    run(test())
+
+
+def test_a_client_that_leaves_with_answers_unread_is_gone_at_once(script: type[Script]) -> None:
+    # Its connection is not lost before what waits to be written is out, which nobody reads.
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            await until(lambda: events(Arrival))
+            (inside,) = p.frontend.clients
+            size = 0
+            while inside.transport.get_write_buffer_size() == 0 or size < 8_000_000:
+                inside.transport.write(b"x" * 1_000_000)
+                size += 1_000_000
+            client.writer.write_eof()
+            await until(lambda: events(ClientGone))
+            assert p.frontend.clients
+
+    run(test())
+
+
 def test_timers_watches_and_probes_are_carried_out(script: type[Script]) -> None:
     script.act = each(
         ServerList, lambda e: [SetTimer(1.0, 42), Probe("s0"), Watch()] * (e.kind is ListKind.SAVED)
