Never send what still waits for its connection when its client has left or its time is up

Design: an attempt whose bytes have not gone out is none yet. When nobody waits for its request any more it is withdrawn by the engine, as not sent, whatever the settings say of calling attempts off; calling off what is out stays the module's choice.

Ruled out: `MayCancel` true, where the module's Cancel drops the connection.

At fault: Engine.client_gone and Engine._deadline leaving attempts to the module alone, which may not cancel.

--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -221,6 +221,11 @@
     def cancel(self, attempt: Attempt) -> None:
         self._give_up(attempt, Result.CANCELLED)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """End it if it is still to be written: its connection comes up, or has not taken all of it."""
+        if attempt.connection is not None and attempt.connection.never_ran():
+            self._give_up(attempt, Result.NOT_SENT)
+
     def _limit(self, attempt: Attempt) -> None:
         connection = attempt.connection
         never = connection is None or connection.never_ran()
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -170,13 +170,20 @@
         if held is None or held.over:
             return
         self._close(held)
-        self._raise(ClientGone(request_id))
+        self._abandon(held)
 
     def _deadline(self, held: Held) -> None:
         """The module let the client's time run out; the client gets its one answer all the same."""
         if not held.over:
             self._answer(held, Answer(504))
-            self._raise(ClientGone(held.taken.id))
+            self._abandon(held)
+
+    def _abandon(self, held: Held) -> None:
+        """Nobody waits for it any more. Whether attempts that are out may be called off is the module's
+        affair; one whose bytes have not gone out is none yet, and never goes out."""
+        self._raise(ClientGone(held.taken.id))
+        for attempt in held.attempts:
+            self.backends.withdraw(attempt)
 
     def _on_attempt(
         self, held: Held, number: int, attempt: Attempt, result: Result, got: Response | None
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -8,11 +8,12 @@
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, cast
 
 import uvloop
 
 from flintlatch.__main__ import Config, start
+from flintlatch.net.backends import Backends
 from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import Frontend
 
@@ -87,6 +88,20 @@
             writer.close()
 
 
+def request(
+    path: str = "/answer", method: str = "POST", *, body: bytes = b"", **headers: str | None
+) -> bytes:
+    all_headers: dict[str, str | None] = {
+        "host": "backend.local",
+        "x-call-id": "c1",
+        "x-budget-ms": "20000",
+        "content-length": str(len(body)),
+    }
+    all_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in all_headers.items() if value is not None)
+    return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+
 class Client:
     """One connection to the proxy."""
 
@@ -101,15 +116,7 @@
     def send(
         self, path: str = "/answer", method: str = "POST", *, body: bytes = b"", **headers: str | None
     ) -> None:
-        all_headers: dict[str, str | None] = {
-            "host": "backend.local",
-            "x-call-id": "c1",
-            "x-budget-ms": "20000",
-            "content-length": str(len(body)),
-        }
-        all_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
-        lines = "".join(f"{name}: {value}\r\n" for name, value in all_headers.items() if value is not None)
-        self.writer.write(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+        self.writer.write(request(path, method, body=body, **headers))
 
     async def reply(self) -> Reply:
         line, headers = await read_head(self.reader)
@@ -160,6 +167,27 @@
     }
 
 
+class Gate:
+    """Stands in for the loop of the connections to backends: each comes up only once the test says so."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.create_task, self.call_later = loop.create_task, loop.call_later
+        self.connect = loop.create_connection
+        self.knocks: asyncio.Queue[asyncio.Event] = asyncio.Queue()  # one for each connection that is opened
+
+    async def create_connection(self, *args: Any) -> Any:
+        comes_up = asyncio.Event()
+        await self.knocks.put(comes_up)
+        await comes_up.wait()
+        return await self.connect(*args)
+
+    @staticmethod
+    def of(backends: Backends) -> Gate:
+        gate = Gate(backends.loop)
+        backends.loop = cast(asyncio.AbstractEventLoop, gate)
+        return gate
+
+
 class Proxy(NamedTuple):
     engine: Engine
     frontend: Frontend
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -32,7 +33,7 @@
 from flintlatch.net import frontend as frontend_module
 from flintlatch.net.clock import now_ms
 from flintlatch.net.http1 import hung_up
-from tests.loopback import Client, proxy, run
+from tests.loopback import Client, Gate, proxy, request, run
 
 Step = Callable[[list[Any]], list[Action]]
 
@@ -276,6 +277,63 @@
     run(test())
 
 
+def test_a_client_that_leaves_in_the_turn_of_its_arrival_gets_nothing_sent(script: type[Script]) -> None:
+    script.act = each(Arrival, lambda e: [Send(e.request, "s0", 9000.0)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            host, port = p.frontend.address.split(":")
+            with socket.create_connection((host, int(port))) as client:
+                client.sendall(request())
+            # No turn of the loop has been since: it finds the connection, its request and its end at once.
+            other = await p.client()
+            other.send(x_call_id="other")
+            call = await p.backends[0].calls.get()
+            assert call.headers["x-call-id"] == "other" and p.backends[0].calls.empty()
+            call.reply()
+            assert (await other.reply()).status == 200
+            await until(lambda: len(p.frontend.clients) == 1 and not p.engine.requests)
+            assert p.backends[0].connections == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("why", ["client leaves", "time is up"])
+def test_nothing_goes_out_on_a_connection_that_comes_up_when_nobody_waits(
+    script: type[Script], may_cancel: bool, why: str
+) -> None:
+    """Whether attempts may be called off or not: one that has not gone out is none yet."""
+    script.act = staticmethod(
+        lambda batch: (
+            [Send(e.request, "s0", 9000.0) for e in batch if isinstance(e, Arrival)]
+            + [Cancel(e.request, 0) for e in batch if isinstance(e, ClientGone) and may_cancel]
+        )
+    )
+
+    async def test() -> None:
+        async with proxy(MayCancel=may_cancel) as p:
+            gate = Gate.of(p.engine.backends)
+            client, other = await p.client(), await p.client()
+            client.send(x_budget_ms="20000" if why == "client leaves" else "50")
+            comes_up = await gate.knocks.get()
+            if why == "client leaves":
+                client.close()
+            else:
+                assert (await client.reply()).status == 504
+            await until(lambda: events(Outcome))
+            assert events(Outcome)[0].result in (Result.NOT_SENT, Result.CANCELLED)
+            comes_up.set()
+            other.send(x_call_id="other")
+            (await gate.knocks.get()).set()
+            call = await p.backends[0].calls.get()
+            assert call.headers["x-call-id"] == "other" and p.backends[0].calls.empty()
+            call.reply()
+            assert (await other.reply()).status == 200
+
+    run(test())
+
+
 def test_timers_watches_and_probes_are_carried_out(script: type[Script]) -> None:
     script.act = each(
         ServerList, lambda e: [SetTimer(1.0, 42), Probe("s0"), Watch()] * (e.kind is ListKind.SAVED)
