--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -304,12 +304,13 @@
     script: type[Script], may_cancel: bool, why: str
 ) -> None:
     """Whether attempts may be called off or not: one that has not gone out is none yet."""
-    script.act = staticmethod(
-        lambda batch: (
-            [Send(e.request, "s0", 9000.0) for e in batch if isinstance(e, Arrival)]
-            + [Cancel(e.request, 0) for e in batch if isinstance(e, ClientGone) and may_cancel]
-        )
-    )
+
+    def act(batch: list[Any]) -> list[Action]:
+        actions: list[Action] = [Send(e.request, "s0", 9000.0) for e in batch if isinstance(e, Arrival)]
+        gone = [e for e in batch if isinstance(e, ClientGone) and may_cancel]
+        return actions + [Cancel(e.request, 0) for e in gone]
+
+    script.act = staticmethod(act)
 
     async def test() -> None:
         async with proxy(MayCancel=may_cancel) as p:
