Bound the doubled wait for the list: 1,024 failed calls broke the decision module

Design: the wait after failed calls of the list is doubled six times at most; it is bounded by the settings long before.

Seen, by feeding the module what a proxy hears while discovery refuses its calls, every 150 ms as the network code does where the list is pushed: call 1023 at 154.6 s: OverflowError('int too large to convert to float') After two and a half minutes of a refused list, half an hour of a silent one, the module broke: every request held failed with 500, and the failure that broke it was not heard by the next one. Ruled out: other counters that grow with each event (`order` and `out_count` are only compared and added).

At fault: `250.0 * 2**self.ask_failures`, raised to a power without bound, also where its result is not used.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -40,9 +40,8 @@
 TIE = 0.1  # payoffs closer than this are equal: one outcome moves a payoff by as much
 SHORT_OF_AIM = 0.1  # part of the aim that a first try may lack: the way here takes some of a client's wait
 AWAY_EACH, AWAY_MOST = 2.0, 200.0  # repeats to expect for one turned away, here or by another proxy; in all
-UNSENT_PART = (
-    0.45  # part of its wait after which a request never sent is refused: its client can still come again
-)
+# Part of its wait after which a request never sent is refused: its client can still come again.
+UNSENT_PART = 0.45
 START_LIMIT = 4.0  # requests of all proxies in flight at a server nothing is known of
 LATENCY_STEP = 1 / 16  # weight of one answer in a server's latency: tails must not steer the limit
 FLOOR_DRIFT = 1 / 400  # pull of one answer on the uncrowded latency: a slow spell is believed in the end
@@ -60,6 +59,7 @@
 RETRY_BURST = 10.0  # retries saved up at most
 ASK_TURN_MS, ASK_SPREAD = 100.0, 0.7  # ms of each proxy's turn at the list; part of the obliged time for all
 ASK_RETRY_MS = 10.0  # ms of each proxy's turn after a failed call
+ASK_FIRST_MS, ASK_DOUBLINGS = 250.0, 6  # ms until one is made again, doubled at each, so often at most
 MOVED_MS = 4000.0  # ms after a move to another list service in which its news counts as told
 MOVED_RETRY_MS = 200.0  # ms at most until a failed call to such a service is made again within that time
 PUSHED_RETRY_MS = 200.0  # ms at most, too, where the list is pushed: the call is to this machine, and free
@@ -81,9 +81,8 @@
 ALLOW_LEAST = 0.05  # least such limit: one request in twenty usual latencies still looks
 HANG = 4.0  # usual latencies, beyond which an attempt hangs at its own server: no sign that all are full
 SPOILT = 0.85  # part of the aim: an answer beyond it was crowded, the way to the client takes the rest
-SPOILT_SHARE = (
-    0.15  # of its outcomes, above which one of many counts itself overloaded: a few are always long
-)
+# Share of its outcomes above which one of many counts itself overloaded: a few are always long.
+SPOILT_SHARE = 0.15
 FORGET = 0.1  # part of the way back to the usual payoff in a second without outcomes
 OVER_LEAST = 5.0  # least requests of quota that a tenant may use at once: chance must not look like excess
 
@@ -620,11 +619,11 @@
 
     def on_list(self, now: float, event: ServerList) -> None:
         if event.kind is ListKind.FAILED:
-            self.ask_failures += 1
+            self.ask_failures = min(self.ask_failures + 1, ASK_DOUBLINGS)
             # At least each proxy's turn: hundreds that call every few seconds would keep the service down.
             # A failed call lengthens the time obliged, so the longest wait is still within it.
             turns = min(ASK_RETRY_MS * self.settings.proxies, self.settings.must_ask_ms)
-            wait = max(min(250.0 * 2**self.ask_failures, self.settings.must_ask_ms / 2), turns)
+            wait = max(min(ASK_FIRST_MS * 2**self.ask_failures, self.settings.must_ask_ms / 2), turns)
             if now < self.moved_at + MOVED_MS:
                 wait = MOVED_RETRY_MS
             if not self.settings.ask_for_list:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -342,6 +342,15 @@
         assert of(Watch, driver.beats(250))
 
 
+@pytest.mark.parametrize("ask", [True, False])
+def test_a_list_service_that_stays_away_for_long_breaks_nothing(ask: bool) -> None:
+    # Two minutes and a half of refused calls are 1,024 of them, and a wait doubled so often is no number.
+    driver = Driver(settings(ask_for_list=ask), *fleet(2))
+    for _ in range(1_100):
+        driver.step(ServerList(ListKind.FAILED), after=150.0)
+    assert of(Watch, driver.beats(10_000))
+
+
 def test_a_call_without_any_word_is_made_again() -> None:
     driver = Driver(settings(ask_for_list=True, must_ask_ms=10_000.0), *fleet(1))
     assert len(of(Watch, driver.beats(12_000))) >= 2
