Keep reading a pushed list when the module breaks on the word that its watch ended

Design: the list is read at all times where it is pushed. A module that takes over from a broken one is handed the servers as they stand, and the watch is opened anew if it has ended; the new module can't know that it has.

Seen, with a module that a test breaks on the failed call: lives 2, and no further call of the list, for good. The proxy would go on with the servers of that moment and send to all that drain after it. Ruled out: a list that must be asked for, which each new module asks for at its start.

At fault: Engine._module_broke dropping `self.news`, a FAILED among it, with the batch.

A test that looks for a line in the log failed when tests before it had used up the lines of that second; each test with a scripted module now starts with all of them.

--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -242,6 +242,10 @@
         self.news, self.events, self.ended = [ServerList(ListKind.SAVED, entries)], [], []
         # One that breaks at once, again and again, must leave time for answering.
         self.turn = self.loop.call_later(MODULE_REST_S, self._step)
+        if self.discovery is not None and not self.settings.ask_for_list:
+            # Word that the watch ended may have gone with the old module. A pushed list is read at all times;
+            # one that must be asked for the new module asks for by itself.
+            self.discovery.watch()
         # An answer may bring the next request of its connection, which is the new module's.
         broken, self.requests = self.requests, {}
         for held in broken.values():
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -57,6 +57,8 @@
 def script(monkeypatch: pytest.MonkeyPatch) -> type[Script]:
     Script.act, Script.batches, Script.lives = staticmethod(lambda events: []), [], 0
     monkeypatch.setattr(engine_module, "Balancer", Script)
+    # So many lines a second are for one program: what tests before this one wrote must not use them up.
+    monkeypatch.setattr(engine_module.log, "lines", 0)
     return Script
 
 
@@ -405,6 +407,23 @@
     run(test())
 
 
+def test_a_watch_that_ended_as_the_module_broke_is_opened_anew(script: type[Script]) -> None:
+    def act(batch: list[Any]) -> list[Action]:
+        if any(isinstance(e, ServerList) and e.kind is ListKind.FAILED for e in batch):
+            raise ZeroDivisionError("in the module")
+        return []
+
+    script.act = staticmethod(act)
+
+    async def test() -> None:
+        async with proxy(list_mode="push") as p:
+            (await p.registry.calls.get()).reply(status=503)
+            assert "?since=1&" in (await p.registry.calls.get()).line
+            assert script.lives == 2
+
+    run(test())
+
+
 def test_one_action_that_cannot_be_carried_out_leaves_the_others(
     script: type[Script], monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
