Find a silent watch on the list within two seconds, and ask again before it counts as told

Design: a watch waits for a second and is given one more to answer, both less where a pushed list must be heeded within a short drain grace. No wait for a call of the list is longer than 4 s, and a pushed list that failed is read again within 0.1 s. So there is time for a call that hangs before 6 s after the silence, when all counts as told.

Ruled out: the module's handling of the list that came (no send after it), and drains told to connections being opened (CONNECT_FAILED there). On a pushed list a drain counts as told as the service returns: up to 1.7 s passed until the next call, more than the 0.5 s that south-texas allows.

At fault: WAIT_MS = 4000 and GRACE_MS = 1500, chosen for a grace of 2.5 s; waits bounded by MustAskInMs alone.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -94,7 +94,12 @@
     to_backends = int(sockets * BACKEND_PART)
     engine = Engine(config.settings, config.wire, config.seed, to_backends)
     engine.discovery = Discovery(
-        config.discovery, config.wire, config.known.rev, engine.on_list, engine.on_list_failure
+        config.discovery,
+        config.wire,
+        config.known.rev,
+        engine.on_list,
+        engine.on_list_failure,
+        pushed=not config.settings.ask_for_list,
     )
     engine.on_list(config.known, ListKind.SAVED)
     if config.tier is not None:
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -62,7 +62,8 @@
 ASK_FIRST_MS, ASK_DOUBLINGS = 250.0, 6  # ms until one is made again, doubled at each, so often at most
 MOVED_MS = 4000.0  # ms after a move to another list service in which its news counts as told
 MOVED_RETRY_MS = 200.0  # ms at most until a failed call to such a service is made again within that time
-PUSHED_RETRY_MS = 200.0  # ms at most, too, where the list is pushed: the call is to this machine, and free
+PUSHED_RETRY_MS = 100.0  # ms at most where the list is pushed: the call is to this machine, and free
+ASK_LATEST_MS = 4000.0  # ms at most until the list is asked: what it has to tell counts as told 6 s later
 WARM_KEEP = 0.9  # part of the load known of a warm server that is kept each second without one to look at
 COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple
 
@@ -308,7 +309,7 @@
             # Proxies restarted together must not call the list service in the same moment: each has its
             # turn. Past the time the settings oblige, a proxy counts as told of drains it never heard of.
             proxies, me = self.settings.proxies, self.settings.me
-            span = min(ASK_TURN_MS * proxies, ASK_SPREAD * self.settings.must_ask_ms)
+            span = min(ASK_TURN_MS * proxies, ASK_SPREAD * self.settings.must_ask_ms, ASK_LATEST_MS)
             self.ask_at = now + span * (me % proxies + self.rng.random()) / proxies
 
     # 1. Events
@@ -623,7 +624,8 @@
             # At least each proxy's turn: hundreds that call every few seconds would keep the service down.
             # A failed call lengthens the time obliged, so the longest wait is still within it.
             turns = min(ASK_RETRY_MS * self.settings.proxies, self.settings.must_ask_ms)
-            wait = max(min(ASK_FIRST_MS * 2**self.ask_failures, self.settings.must_ask_ms / 2), turns)
+            longest = min(self.settings.must_ask_ms / 2, ASK_LATEST_MS)
+            wait = max(min(ASK_FIRST_MS * 2**self.ask_failures, longest), turns)
             if now < self.moved_at + MOVED_MS:
                 wait = MOVED_RETRY_MS
             if not self.settings.ask_for_list:
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from ipaddress import ip_address
+from math import inf
 from typing import NamedTuple
 
 import orjson
@@ -15,8 +16,14 @@
 
 STATES = {"active": ServerState.ACTIVE, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 FIRST_WAIT_MS = 1  # a new watch asks for what is known now, so that success shows at once
-WAIT_MS = 4000  # how long a watch waits for news: short, since silence is noticed only after it
-GRACE_MS = 1500  # time beyond that wait after which the service counts as silent
+# What a silent watch misses counts as told 6 s after it fell silent. By then it must have been found silent,
+# opened anew, and once more if connecting hangs; so it waits for a second and is given a second to answer.
+WAIT_MS = 1000.0
+SILENT_MS = 1000.0
+# A pushed list counts as told in the moment its service is back: a watch left open then, and the next call,
+# may use up so much of the drain grace each. The agent is on this machine, and slow only when that is.
+GRACE_PART = 0.4
+LEAST_MS = 200.0
 MAX_LIST = 1024 * 1024
 
 
@@ -99,7 +106,10 @@
         rev: int | None,
         on_list: Callable[[Listing], None],
         on_failure: Callable[[str], None],
+        pushed: bool = False,
     ) -> None:
+        most = max(wire.drain_grace_ms * GRACE_PART, LEAST_MS) if pushed else inf
+        self.wait_ms, self.silent_ms = int(min(WAIT_MS, most)), min(SILENT_MS, most)
         self.address, self.wire, self.rev = address, wire, rev
         self.on_list, self.on_failure = on_list, on_failure
         self.call: Call | None = None
@@ -132,7 +142,7 @@
         wait = FIRST_WAIT_MS
         while True:
             try:
-                async with asyncio.timeout((wait + GRACE_MS) / 1000):
+                async with asyncio.timeout((wait + self.silent_ms) / 1000):
                     news = await self._fetch(wait)
                 self.on_list(news)
             except Exception as error:
@@ -141,7 +151,7 @@
                 self._hang_up()
                 self.on_failure(f"{type(error).__name__}: {error}")
                 return
-            self.rev, wait = news.rev, WAIT_MS
+            self.rev, wait = news.rev, self.wait_ms
 
     async def _fetch(self, wait: int) -> Listing:
         if self.call is None or not self.call.usable:
--- a/flintlatch/settings.py
+++ b/flintlatch/settings.py
@@ -106,6 +106,7 @@
     kinds: dict[str, int]
     connect_timeout_ms: float
     conn_idle_ms: float
+    drain_grace_ms: float = inf  # from being told of a drain to the last send
 
 
 def numbered(names: list[Any], member: str) -> dict[str, int]:
@@ -114,6 +115,7 @@
 
 def read_wire(info: Message) -> Wire:
     limits = mapping(info.get("Limits") or {}, "Limits")
+    rules = mapping(info.get("Obligations") or {}, "Obligations")
     lanes = [mapping(c, "Lanes") for c in listing(info["Lanes"], "Lanes")]
     tenants = [mapping(t, "Projects") for t in listing(info.get("Projects") or [], "Projects")]
     wire = Wire(
@@ -123,6 +125,7 @@
         kinds=numbered(listing(info.get("Kinds") or [], "Kinds"), "Kinds"),
         connect_timeout_ms=number(limits.get("ConnectTimeoutMs", 250), "ConnectTimeoutMs"),
         conn_idle_ms=number(limits.get("ConnIdleMs", 15000), "ConnIdleMs"),
+        drain_grace_ms=number(rules.get("DrainGraceMs", inf), "DrainGraceMs"),
     )
     for name in ("connect_timeout_ms", "conn_idle_ms"):
         if not 0 < getattr(wire, name) < inf:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,11 +10,12 @@
 
 import pytest
 
-from flintlatch.api import ServerState
+from flintlatch.api import ListKind, ServerList, ServerState, Watch
 from flintlatch.net import discovery as discovery_module
 from flintlatch.net.discovery import Discovery, Listing
 from flintlatch.settings import Wire
 from tests.loopback import Call, Peer, listing, proxy, run, target
+from tests.support import Driver, fleet, of, settings
 
 ADDRESS = "127.0.0.9:80"
 
@@ -51,7 +52,7 @@
             reply(first, listing(41, whole=False))
             assert (await heard.lists.get()).targets == ()
             second = await peer.calls.get()
-            assert second.line == "GET /registry/instances?since=41&timeout_ms=4000 HTTP/1.1"
+            assert second.line == "GET /registry/instances?since=41&timeout_ms=1000 HTTP/1.1"
             heard.discovery.watch()  # one watch is on: no second one
             reply(second, listing(43, target("s", ADDRESS, "leaving", 7), whole=False))
             news = await heard.lists.get()
@@ -97,7 +98,7 @@
 @pytest.mark.parametrize("how", ["503", "reset", "refused", "silent"])
 def test_each_failed_call_is_told_once(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     if how == "silent":
-        monkeypatch.setattr(discovery_module, "GRACE_MS", 50)
+        monkeypatch.setattr(discovery_module, "SILENT_MS", 50)
 
     async def test() -> None:
         if how == "refused":
@@ -167,3 +168,80 @@
             assert p.engine.backends.active() == 1
 
     run(test())
+
+
+def until_asked(driver: Driver) -> float:
+    """ms from a failed call to the next one."""
+    driver.step(ServerList(ListKind.FAILED))
+    start = driver.now
+    while not of(Watch, driver.beat()):
+        pass
+    return driver.now - start
+
+
+def times(pushed: bool, grace_ms: float) -> Discovery:
+    wire = Wire({}, {}, {}, {}, 1000.0, 1000.0, grace_ms)
+    return Discovery(ADDRESS, wire, 1, lambda _: None, lambda _: None, pushed)
+
+
+@pytest.mark.parametrize("must_ask_ms", [5_000.0, 10_000.0, 60_000.0])
+@pytest.mark.parametrize(("pushed", "proxies"), [(True, 1), (True, 200), (False, 1), (False, 40)])
+def test_a_silent_watch_is_opened_anew_in_time_also_if_connecting_hangs(
+    pushed: bool, proxies: int, must_ask_ms: float
+) -> None:
+    # 6 s after it fell silent, at the start of a call maybe, what it missed counts as told.
+    config = settings(ask_for_list=not pushed, proxies=proxies, must_ask_ms=must_ask_ms)
+    driver = Driver(config, *fleet(2))
+    if not pushed:
+        assert of(Watch, driver.beats(4_025))  # as is a new process that has not asked yet
+    driver.step(ServerList(ListKind.FULL, tuple(fleet(2))))
+    discovery = times(pushed, 300.0)
+    silent = discovery.wait_ms + discovery.silent_ms
+    hangs = discovery_module.FIRST_WAIT_MS + discovery.silent_ms
+    assert silent + until_asked(driver) + hangs + until_asked(driver) < 6_000
+
+
+@pytest.mark.parametrize("grace_ms", [500.0, 2_500.0, 6_000.0])
+def test_a_pushed_list_is_read_within_the_drain_grace_of_its_return(grace_ms: float) -> None:
+    # What it holds then counts as told at once. An open watch may have been left silent, or a call since.
+    discovery = times(True, grace_ms)
+    again = until_asked(Driver(settings(), *fleet(2)))
+    assert discovery.wait_ms + discovery.silent_ms + again <= grace_ms + 50
+
+
+def test_a_list_in_pieces_is_one_list() -> None:
+    async def test() -> None:
+        async with watching() as (heard, peer):
+            call = await peer.calls.get()
+            body = json.dumps(listing(42, target("s", ADDRESS)), indent=2).encode()
+            whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+            for place in range(0, len(whole), 40):
+                call.writer.write(whole[place : place + 40])
+                await call.writer.drain()
+                await asyncio.sleep(0)
+            assert (await heard.lists.get()).rev == 42
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["noise", "end"])
+def test_a_connection_that_ends_between_two_calls_is_no_failed_call(how: str) -> None:
+    async def test() -> None:
+        async with watching() as (heard, peer):
+
+            def between(news: Listing) -> None:
+                heard.lists.put_nowait(news)
+                call = heard.discovery.call
+                assert call is not None
+                if how == "noise":
+                    call.data_received(b"x")
+                else:
+                    call.connection_lost(ConnectionResetError())
+
+            heard.discovery.on_list = between
+            reply(await peer.calls.get(), listing(42))
+            second = await peer.calls.get()
+            assert second.line.startswith("GET /registry/instances?since=42&")
+            assert second.connection == 2 and heard.failures.empty()
+
+    run(test())
