Close a connection to discovery that comes up just as it is given up

Design: the connection of a watch is known from the moment it is opened; given up while it comes up, it is closed once it is up.

Seen, with a test that lets the time for connecting, or the move to another service, fall in the turn in which the connection comes up: the service keeps a connection with no call on it, for good; nobody owned it. Each leaves one of few descriptors open, and discovery is asked anew ten times a second while it is away. Ruled out, with tests that stay: an answer of the old service in the turn of the move is not heard; two moves in a row end at the last.

At fault: `_, self.call = await create_connection(...)`, which never returns when the wait for it is cancelled.

--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -138,6 +138,10 @@
             self.call.close()
         self.call = None
 
+    async def _connect(self, call: Call) -> None:
+        host, port = split_address(self.address)
+        await asyncio.get_running_loop().create_connection(lambda: call, host, port)
+
     async def _run(self) -> None:
         wait = FIRST_WAIT_MS
         while True:
@@ -156,8 +160,8 @@
     async def _fetch(self, wait: int) -> Listing:
         if self.call is None or not self.call.usable:
             self._hang_up()
-            host, port = split_address(self.address)
-            _, self.call = await asyncio.get_running_loop().create_connection(Call, host, port)
+            self.call = Call()  # known before it comes up, which may be just as it is hung up
+            await self._connect(self.call)
         path = "/registry/instances"
         if self.rev is not None:
             path += f"?since={self.rev}&timeout_ms={wait}"
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -77,6 +77,8 @@
         self.transport = cast(asyncio.Transport, transport)
         # With no room to buffer, a write goes to the kernel at once, and what is left over can be seen.
         self.transport.set_write_buffer_limits(high=0)
+        if not self.usable:  # given up while it came up
+            self.transport.abort()
 
     def ask(self, request: bytes) -> None:
         assert self.transport is not None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -245,3 +245,88 @@
             assert second.connection == 2 and heard.failures.empty()
 
     run(test())
+
+
+@pytest.mark.parametrize("how", ["time is up", "moved"])
+def test_a_connection_given_up_as_it_comes_up_is_not_left_open(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        peer, other = await Peer().open(), await Peer().open()
+        heard = Heard(peer.address)
+        connect = heard.discovery._connect
+        comes_up = asyncio.Event()
+
+        async def late(call: discovery_module.Call) -> None:
+            if heard.discovery.address == other.address:
+                await connect(call)
+                return
+            if how == "time is up":
+                await connect(call)
+                raise TimeoutError
+            task = asyncio.create_task(connect(call))
+            comes_up.set()
+            await asyncio.shield(
+                task
+            )  # what the service is moved away from, the kernel connects all the same
+
+        monkeypatch.setattr(heard.discovery, "_connect", late)
+        heard.discovery.watch()
+        if how == "time is up":
+            assert "TimeoutError" in await heard.failures.get()
+        else:
+            await comes_up.wait()
+            assert heard.discovery.move(other.address)
+            heard.discovery.watch()
+            reply(await other.calls.get(), listing(7))
+            assert (await heard.lists.get()).rev == 7
+        while not peer.writers:
+            await asyncio.sleep(0.001)
+        while not peer.writers[0].is_closing():  # its reader has found the end
+            await asyncio.sleep(0.001)
+        assert peer.calls.empty() and heard.failures.empty()
+        heard.discovery.close()
+        peer.close()
+        other.close()
+
+    run(test())
+
+
+def test_an_answer_of_the_old_service_in_the_turn_of_the_move_is_not_heard() -> None:
+    async def test() -> None:
+        other = await Peer().open()
+        async with watching() as (heard, peer):
+            await peer.calls.get()
+            call = heard.discovery.call
+            assert call is not None
+            body = json.dumps(listing(42, target("old", ADDRESS))).encode()
+            call.data_received(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body))
+            assert heard.discovery.move(other.address)  # before the watch could look at it
+            heard.discovery.watch()
+            first = await other.calls.get()
+            assert first.line == "GET /registry/instances HTTP/1.1"
+            reply(first, listing(7))
+            assert (await heard.lists.get()).rev == 7
+            assert heard.lists.empty() and heard.failures.empty()
+        other.close()
+
+    run(test())
+
+
+def test_moves_twice_in_a_row_and_back_ask_the_last_service_anew() -> None:
+    async def test() -> None:
+        other = await Peer().open()
+        async with watching() as (heard, peer):
+            (await peer.calls.get()).reply(json.dumps(listing(42)).encode())
+            await heard.lists.get()
+            old = await peer.calls.get()
+            assert heard.discovery.move(other.address) and heard.discovery.move(peer.address)
+            assert not heard.discovery.move(peer.address)
+            heard.discovery.watch()
+            await old.closed.wait()
+            again = await peer.calls.get()
+            assert again.line == "GET /registry/instances HTTP/1.1" and again.connection == 2
+            assert other.connections == 0 and heard.failures.empty()
+        other.close()
+
+    run(test())
