End an attempt given up at its server at once, before another can go out in the same turn

Design: giving up an attempt ends the sending on its connection there and then; the loop may close the descriptor when it comes to that.

Seen, with a peer that a test reads from without a turn of the loop in between: no end, neither after a cancel nor after a time-out nor after an answer that can't be read. uvloop's abort() only schedules connection_lost and closes the descriptor there. The engine's step is scheduled in the same queue, and ahead of that if any event of the turn came before it (a timer of the module, an arrival): Outcome, Send and the write to a pooled connection elsewhere then come while the first attempt is out on an open connection, which is a second copy. Ruled out: attempts that were answered whole, and connections that the server closed.

At fault: Exchange.close() leaving the end to transport.abort().

--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+import socket
 from typing import NamedTuple, cast
 
 import httptools
@@ -42,6 +43,20 @@
     return bool(poll.poll(0))  # an error and a reset are told unasked
 
 
+def end_sending(transport: asyncio.Transport) -> None:
+    """Now, not in a later turn of the loop, as closing the transport would."""
+    if transport.is_closing():
+        return  # its descriptor may be another's by now
+    fileno = transport.get_extra_info("socket").fileno()
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno)  # for the call alone: it owns nothing
+    try:
+        sock.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass  # it is not connected any more
+    finally:
+        sock.detach()
+
+
 class Response(NamedTuple):
     status: int
     headers: Headers
@@ -99,9 +114,14 @@
         self.unsent = False
 
     def close(self) -> None:
-        """Give it up, with whatever it carries; nothing is reported any more."""
+        """Give it up, with whatever it carries; nothing is reported any more.
+
+        What it carries may be sent elsewhere in this turn of the loop, and must not be out twice: so the
+        server sees the end before that, while the loop closes a connection only after the turn.
+        """
         self.waiting = self.usable = False
         if self.transport is not None:
+            end_sending(self.transport)
             self.transport.abort()
 
     def _break(self) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -338,6 +338,48 @@
     run(test())
 
 
+def sees_its_end(peer: socket.socket) -> bool:
+    """Blocks this whole process until the kernel has word for the peer: no turn of the loop goes by."""
+    peer.settimeout(1.0)
+    try:
+        return peer.recv(10) == b""
+    except ConnectionError:
+        return True
+    except TimeoutError:
+        return False
+
+
+@pytest.mark.parametrize("how", ["cancelled", "timed out", "spoilt"])
+def test_an_attempt_given_up_has_ended_at_its_server_before_another_can_go_out(how: str) -> None:
+    # The module may send the request again in the very turn in which it hears of the end.
+    async def test() -> None:
+        async with tries() as (attempts, _):
+            loop = asyncio.get_running_loop()
+            with socket.socket() as listener:
+                listener.bind(("127.0.0.1", 0))
+                listener.listen(1)
+                listener.setblocking(False)
+                attempts.list(target("s", "{}:{}".format(*listener.getsockname())))
+                attempt = attempts.start()
+                accepted, _ = await loop.sock_accept(listener)
+                with accepted:
+                    await loop.sock_recv(accepted, 10_000)
+                    connection = attempt.connection
+                    assert connection is not None
+                    if how == "cancelled":
+                        attempts.pool.cancel(attempt)
+                    elif how == "timed out":
+                        attempts.pool._limit(attempt)
+                    else:
+                        connection.data_received(b"HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n")
+                    assert attempts.outcomes.qsize() == 1
+                    assert sees_its_end(accepted)
+            expected = {"cancelled": Result.CANCELLED, "timed out": Result.TIMEOUT}
+            assert await attempts.result() is expected.get(how, Result.RESET)
+
+    run(test())
+
+
 def test_the_most_recent_connection_is_used_first() -> None:
     async def test() -> None:
         async with tries() as (attempts, peer):
