Serve what the kernel has accepted before a stopping proxy closes its listening socket

Design: a connection that the kernel has accepted is this proxy's. A stopping proxy closes its listening socket only when the kernel's queue is empty, also where there is room for a few at a time; a new connection that has not asked yet gets the moment that one at the cap gets; and a request that lies behind an answer unread is served before the close.

Seen, by a test with connections that no turn of the loop has seen when the socket is closed: each is reset with its request, `ConnectionResetError` where an answer is owed. They are there whenever the proxy is at its cap of connections in that moment (`_accept_later`), and else by a hair's breadth. Closing also took new connections that were a few milliseconds old, whose first request was under way, and with `connection: close` a request sent ahead that was not read yet. Ruled out: half-read requests and connections being set up, which were waited for already.

At fault: Frontend.finish closing the socket without looking, and all of `waiting` that had not begun; Client.write looking at what is read alone.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -32,6 +32,7 @@
 LINGER_S = 1.0  # s that a closed connection may go on sending before it is cut off
 LINGER_BYTES = 1024 * 1024  # bytes that are read and dropped in that time: the answer is long out by then
 RETRY_ACCEPT_S = 0.05  # s until the next try when there was no descriptor to give
+DRAIN_ACCEPT_S = 0.005  # s between looks at the kernel's queue before it goes: those accepted are served, too
 UNREAD_ANSWERS = 2 * MAX_BODY  # bytes of answers that a client may leave unread
 READY_PATH = b"/health/ready"
 
@@ -231,7 +232,7 @@
         if self.transport.is_closing():
             return
         # What was sent ahead on this connection is taken too: it closes after the last of it.
-        keep = self.keep and not (self.frontend.stopping and not self.queue and not self.rest)
+        keep = self.keep and (not self.frontend.stopping or self._asked_ahead())
         self.transport.write(
             b"HTTP/1.1 %d %b\r\n%bcontent-length: %d\r\n%b\r\n%b"
             % (
@@ -249,6 +250,9 @@
         elif self.transport.get_write_buffer_size() > UNREAD_ANSWERS:
             self.transport.abort()
 
+    def _asked_ahead(self) -> bool:
+        return bool(self.queue or self.rest) or unread(self.transport)
+
     def finish(self) -> None:
         """Close after what is written. Closed at once with bytes unread, the kernel would reset the
         connection and the client could lose its answer; so the client gets a moment to close first."""
@@ -321,22 +325,25 @@
         self._accept_off()
         self.loop.call_later(RETRY_ACCEPT_S, self._accept_on)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Take connections from the kernel's queue; whether it is empty now."""
         assert self.sock is not None
         for _ in range(ACCEPT_AT_ONCE):
             full = self.held >= self.most
             victim = self._victim() if full else None
             if full and victim is None:
                 self._accept_later()  # the kernel's queue holds those that come
-                return
+                return False
             try:
                 sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionAbortedError):
+                continue
             except OSError as error:
                 log(f"accept: {error}")
                 self._accept_later()
-                return
+                return False
             if victim is not None:  # only now that somebody needs its place
                 self.put(victim, None)
                 victim.transport.abort() if victim.closing else victim.transport.close()
@@ -345,7 +352,8 @@
             self.opening.add(cast("asyncio.Task[object]", task))
             task.add_done_callback(self._opened)
             if victim is not None:
-                return  # its descriptor is free only after this turn
+                return False  # its descriptor is free only after this turn
+        return False
 
     def _opened(self, task: asyncio.Task[object]) -> None:
         self.opening.discard(task)
@@ -394,6 +402,8 @@
         for client in self._over(self.idle, IDLE_FULL_S if self.held > self.most / 2 else IDLE_S):
             if not unread(client.transport):
                 client.transport.close()
+        if self.sock is None:
+            self._close_unasked()
 
     def watch_paused(self, client: Client) -> None:
         self.paused.add(client)
@@ -425,18 +435,32 @@
 
     async def finish(self, within_s: float) -> None:
         """Accept no more, close between requests, and wait until nothing is open."""
+        until = self.loop.time() + within_s
+        # What the kernel has accepted is this proxy's: closed with the socket it would be reset.
+        while self.sock is not None and not self._accept() and self.loop.time() < until:
+            await asyncio.sleep(DRAIN_ACCEPT_S if self.held < self.most else RETRY_ACCEPT_S)
         self._accept_off()
         if self.sock is not None:
             self.sock.close()
             self.sock = None
-        for client in [*self.idle, *(client for client in self.waiting if not client.begun)]:
+        self._close_unasked()
+        if not await self._emptied(until - self.loop.time()):
+            log(f"stop: {self.held} client connections were still open")
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+
+    def _close_unasked(self) -> None:
+        """Those between two requests, and new ones whose first request would have come by now."""
+        silent = [client for client in self._over(self.waiting, SPARE_MS / 1000) if not client.begun]
+        for client in [*self.idle, *silent]:
             if not unread(client.transport):  # else it has just been asked, and answers first
                 client.transport.close()
+
+    async def _emptied(self, within_s: float) -> bool:
         if self.held:
             try:
                 async with asyncio.timeout(within_s):
                     await self.empty.wait()
             except TimeoutError:
-                log(f"stop: {self.held} client connections were still open")
-        if self.sweeper is not None:
-            self.sweeper.cancel()
+                return False
+        return True
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -9,7 +9,8 @@
 
 from flintlatch.net import engine as engine_module
 from flintlatch.net import frontend as frontend_module
-from tests.loopback import Client, proxy, run
+from flintlatch.net.http1 import unread
+from tests.loopback import Client, Proxy, proxy, request, run
 
 
 def test_a_request_goes_on_unchanged_and_the_answer_comes_back() -> None:
@@ -492,3 +493,84 @@
             await ended
 
     run(test())
+
+
+def in_the_kernel(p: Proxy, number: int) -> socket.socket:
+    """A request that no turn of the loop has seen: its connection waits to be accepted."""
+    host, port = p.frontend.address.split(":")
+    sock = socket.create_connection((host, int(port)))
+    sock.sendall(request(x_call_id=f"k{number}"))
+    sock.setblocking(False)
+    return sock
+
+
+@pytest.mark.parametrize("most", [1000, 3])
+def test_connections_in_the_kernels_queue_are_served_before_the_socket_closes(most: int) -> None:
+    """Closed with it, they would be reset with their requests; also where there is room for few at a time."""
+
+    async def test() -> None:
+        async with proxy() as p:
+            p.frontend.most = most
+            loop = asyncio.get_running_loop()
+            p.frontend.stop_keeping()
+            waiting = [in_the_kernel(p, number) for number in range(40)]
+            ended = asyncio.create_task(p.frontend.finish(30.0))
+            for _ in waiting:
+                (await p.backends[0].calls.get()).reply(b"served")
+            for sock in waiting:
+                assert (await loop.sock_recv(sock, 1000)).startswith(b"HTTP/1.1 200 ")
+                sock.close()
+            await ended
+            with pytest.raises(ConnectionRefusedError):
+                await p.client()
+
+    run(test())
+
+
+@pytest.mark.parametrize("young", [True, False])
+def test_a_new_connection_gets_a_moment_to_ask_while_the_proxy_stops(
+    young: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(frontend_module, "SPARE_MS", 100_000.0 if young else -1.0)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            while not p.frontend.waiting:
+                await asyncio.sleep(0.001)
+            p.frontend.stop_keeping()
+            ended = asyncio.create_task(p.frontend.finish(30.0))
+            while p.frontend.sock is not None:
+                await asyncio.sleep(0.001)
+            if young:
+                client.send()
+                (await p.backends[0].calls.get()).reply()
+                assert (await client.reply()).status == 200
+            assert await client.ended()
+            client.close()
+            await ended
+
+    run(test())
+
+
+def test_a_request_in_the_kernel_behind_an_answer_is_taken_by_a_stopping_proxy() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send(x_call_id="c1")
+            call = await p.backends[0].calls.get()
+            p.frontend.stop_keeping()
+            (inside,) = p.frontend.clients
+            inside.transport.pause_reading()  # as if no turn had come yet in which to read
+            client.send(x_call_id="c2")
+            while not unread(inside.transport):
+                await asyncio.sleep(0.001)
+            call.reply(b"first")
+            reply = await client.reply()
+            assert reply.body == b"first" and "connection" not in reply.headers
+            (await p.backends[0].calls.get()).reply(b"second")
+            reply = await client.reply()
+            assert (reply.body, reply.headers["connection"]) == (b"second", "close")
+            client.close()
+
+    run(test())
