Answer what is left before the platform ends a stopping proxy by force

Design: the platform kills a stopping proxy 0.7 s after the longest deadline, counted as 3 s where it is longer. So it waits 0.55 s for connections and at most that deadline for its answers; then all that is still open is answered as failed, with what was sent ahead behind it, and the program ends 0.1 s later.

Seen, with a backend that a test leaves hanging: the program logged `stop: 2 client connections were still open` and ended without an answer to the request it had taken. Ruled out: deadlines up to 3 s whose requests were whole in time, which each had its own timer. A signal or a list event in the last turns opened a watch again; it no longer can. Tests show SIGHUP while the configuration is read, SIGTERM before the loop, twice, and with SIGHUP.

At fault: Frontend.finish logging and leaving; its time in __main__ being the longest deadline whatever that is.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -34,6 +34,8 @@
 )
 
 ACCEPT_ON_S = 0.55  # s after SIGTERM in which connections still come, and a little more for a busy machine
+# s, the longest deadline that the platform counts: 0.7 s after it a stopping proxy is ended by force.
+LONGEST_S = 3.0
 SPARE_SOCKETS = 40  # descriptors for the program itself, discovery, and those that are just closing
 # Of the other descriptors: clients hold a third of all for requests at most, each in flight once or waiting
 # here, and beside them there are kept and silent ones.
@@ -146,10 +148,10 @@
     log("stopping")
     frontend.stop_keeping()
     await asyncio.sleep(ACCEPT_ON_S)
-    await frontend.finish(max(c.deadline_ms for c in config.settings.classes) / 1000)
+    await frontend.finish(min(max(c.deadline_ms for c in config.settings.classes) / 1000, LONGEST_S))
     engine.close()
-    # The loop's handler goes with the loop: a SIGHUP in the last moment must not end the program in its way.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    # The loop's handlers go with the loop: a signal in the last moment must not end the program in its way.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
     log("stopped")
 
 
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -296,10 +296,17 @@
         else:
             self.backends.start(attempt)
 
+    def give_up(self) -> None:
+        """The program ends: whoever still waits gets an answer now, and so does what was sent ahead."""
+        while waiting := [held for held in self.requests.values() if not held.over]:
+            for held in waiting:
+                self._deadline(held)
+
     def close(self) -> None:
         self.backends.close()
         if self.discovery is not None:
             self.discovery.close()
+            self.discovery = None  # a signal or a step that comes yet must not open a watch again
         if self.peers is not None:
             self.peers.close()
 
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -33,6 +33,7 @@
 LINGER_BYTES = 1024 * 1024  # bytes that are read and dropped in that time: the answer is long out by then
 RETRY_ACCEPT_S = 0.05  # s until the next try when there was no descriptor to give
 DRAIN_ACCEPT_S = 0.005  # s between looks at the kernel's queue before it goes: those accepted are served, too
+LAST_WORDS_S = 0.1  # s in which the last answers reach their clients before the program ends
 UNREAD_ANSWERS = 2 * MAX_BODY  # bytes of answers that a client may leave unread
 READY_PATH = b"/health/ready"
 
@@ -434,7 +435,8 @@
         self.stopping = True
 
     async def finish(self, within_s: float) -> None:
-        """Accept no more, close between requests, and wait until nothing is open."""
+        """Accept no more, close between requests, and wait until nothing is open. What is not answered within
+        that time gets its answer then: the platform ends the program soon after."""
         until = self.loop.time() + within_s
         # What the kernel has accepted is this proxy's: closed with the socket it would be reset.
         while self.sock is not None and not self._accept() and self.loop.time() < until:
@@ -445,7 +447,9 @@
             self.sock = None
         self._close_unasked()
         if not await self._emptied(until - self.loop.time()):
-            log(f"stop: {self.held} client connections were still open")
+            self.engine.give_up()
+            if not await self._emptied(LAST_WORDS_S):
+                log(f"stop: {self.held} client connections were still open")
         if self.sweeper is not None:
             self.sweeper.cancel()
 
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -527,6 +527,30 @@
     run(test())
 
 
+def test_what_is_unanswered_as_the_time_to_stop_ends_gets_its_answer_then() -> None:
+    # With a hung backend and a deadline beyond that time; what was sent ahead behind it is answered as well.
+    async def test() -> None:
+        async with proxy() as p:
+            client, half = await p.client(), await p.client()
+            client.send(x_call_id="c1")
+            client.send(x_call_id="c2")
+            call = await p.backends[0].calls.get()
+            half.writer.write(request(x_call_id="c3")[:-10])
+            while not any(inside.begun for inside in p.frontend.clients):
+                await asyncio.sleep(0.001)
+            p.frontend.stop_keeping()
+            ended = asyncio.create_task(p.frontend.finish(0.0))
+            first, second = await client.reply(), await client.reply()
+            assert [first.status, second.status] == [504, 504]
+            assert "connection" not in first.headers and second.headers["connection"] == "close"
+            client.close()
+            half.close()
+            await ended
+            await call.closed.wait()
+
+    run(test())
+
+
 @pytest.mark.parametrize("young", [True, False])
 def test_a_new_connection_gets_a_moment_to_ask_while_the_proxy_stops(
     young: bool, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -174,3 +174,40 @@
             peer.close()
 
     run(test())
+
+
+def test_signals_before_and_after_the_loop_end_or_change_nothing_by_themselves(tmp_path: Path) -> None:
+    """SIGHUP while the configuration is read; SIGTERM twice, with a SIGHUP in between."""
+    env = write(tmp_path, "")
+    config = tmp_path / "config.json"
+    config.unlink()
+    os.mkfifo(config)
+    program = subprocess.Popen(COMMAND, env=env, stderr=subprocess.PIPE, text=True)
+    assert program.stderr is not None
+    with config.open("w") as file:  # open at both ends now: the program waits for what it says
+        program.send_signal(signal.SIGHUP)
+        file.write(json.dumps(GOOD))
+    assert "listens on" in program.stderr.readline()
+    program.send_signal(signal.SIGTERM)
+    while "stopping" not in (line := program.stderr.readline()):
+        assert line
+    config.unlink()  # the file can't be read: one line, and the stop goes on
+    program.send_signal(signal.SIGHUP)
+    while "going on as before" not in (line := program.stderr.readline()):
+        assert line
+    program.send_signal(signal.SIGTERM)
+    rest = program.stderr.read()
+    assert program.wait() == 0
+    assert "bug" not in rest and "Traceback" not in rest
+
+
+def test_sigterm_before_the_loop_ends_the_program_without_a_word(tmp_path: Path) -> None:
+    env = write(tmp_path, "")
+    config = tmp_path / "config.json"
+    config.unlink()
+    os.mkfifo(config)
+    program = subprocess.Popen(COMMAND, env=env, stderr=subprocess.PIPE, text=True)
+    with config.open("w"):
+        program.send_signal(signal.SIGTERM)
+        assert program.wait() == -signal.SIGTERM
+    assert program.stderr is not None and program.stderr.read() == ""
