Send a keyed repeat within its window or not at all, also if its connection comes up late

Design: where servers drop repeats of a keyed request for so long, the module says with the repeat until when its bytes may go out; the backends' side ends it as unable to connect if its connection is not up by then.

Ruled out: the group (the cell of the first attempt that may have run, as the list had it then), and pooled connections, which are written to at once.

At fault: Send carrying no such time, so that Connection.connection_made wrote whatever was left.

--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -215,6 +215,7 @@
     request: str
     server: str
     limit_ms: float
+    within_ms: float = inf  # its last byte goes out within this, or none does
 
 
 class Refuse(NamedTuple):
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -61,8 +61,7 @@
 ASK_RETRY_MS = 10.0  # ms of each proxy's turn after a failed call
 ASK_FIRST_MS, ASK_DOUBLINGS = 250.0, 6  # ms until one is made again, doubled at each, so often at most
 MOVED_MS = 4000.0  # ms after a move to another list service in which its news counts as told
-MOVED_RETRY_MS = 200.0  # ms at most until a failed call to such a service is made again within that time
-PUSHED_RETRY_MS = 100.0  # ms at most where the list is pushed: the call is to this machine, and free
+SOON_MS = 100.0  # ms at most until a failed call is made again then, or where lists are pushed: it is free
 ASK_LATEST_MS = 4000.0  # ms at most until the list is asked: what it has to tell counts as told 6 s later
 WARM_KEEP = 0.9  # part of the load known of a warm server that is kept each second without one to look at
 COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple
@@ -626,10 +625,8 @@
             turns = min(ASK_RETRY_MS * self.settings.proxies, self.settings.must_ask_ms)
             longest = min(self.settings.must_ask_ms / 2, ASK_LATEST_MS)
             wait = max(min(ASK_FIRST_MS * 2**self.ask_failures, longest), turns)
-            if now < self.moved_at + MOVED_MS:
-                wait = MOVED_RETRY_MS
-            if not self.settings.ask_for_list:
-                wait = PUSHED_RETRY_MS
+            if now < self.moved_at + MOVED_MS or not self.settings.ask_for_list:
+                wait = SOON_MS
             self.ask_at = now + wait * self.rng.uniform(0.5, 1.0)
             return
         if event.kind is not ListKind.SAVED:
@@ -854,6 +851,7 @@
         return server.payoff + BONUS * sqrt(log(1 + self.outcomes) / (1 + server.plays))
 
     def send(self, now: float, request: Request, server: Server) -> None:
+        ran, spec = request.first_run(), request.spec
         request.attempts.append(Attempt(server, now))
         request.open += 1
         self.out_count += 1
@@ -864,7 +862,9 @@
         if server.cold_until > now:
             server.tokens -= 1
         left = max(min(request.useful - self.settings.tick_ms, request.give_up) - now, 1.0)
-        self.out.append(Send(request.id, server.id, left))
+        # Its connection may come up late; by then the servers that drop repeats of it may have forgotten it.
+        within = ran.sent + spec.window_ms - now if ran and spec.effect is Effect.KEYED else inf
+        self.out.append(Send(request.id, server.id, left, within))
 
 
 def smooth(mean: float, value: float) -> float:
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 from collections.abc import Callable
+from math import inf
 
 from flintlatch.api import Result, ServerState
 from flintlatch.net.clock import now_ms
@@ -29,10 +30,12 @@
         body: bytes,
         limit_ms: float,
         done: Callable[[Attempt, Result, Response | None], None],
+        within_ms: float = inf,
     ) -> None:
         self.uid, self.head, self.body, self.done = uid, head, body, done
         self.started = now_ms()
         self.deadline = self.started + limit_ms
+        self.write_by = self.started + within_ms
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
@@ -173,8 +176,7 @@
         if backend is None or not backend.active():
             attempt.end(Result.CONNECT_FAILED)
             return
-        seconds = max(attempt.deadline - now_ms(), 0.0) / 1000
-        attempt.timer = self.loop.call_later(seconds, self._limit, attempt)
+        self._time(attempt, min(attempt.deadline, attempt.write_by))
         kept = self._lend(backend)
         if kept is not None:
             kept.carry(attempt)
@@ -226,9 +228,17 @@
         if attempt.connection is not None and attempt.connection.never_ran():
             self._give_up(attempt, Result.NOT_SENT)
 
+    def _time(self, attempt: Attempt, until: float) -> None:
+        seconds = max(until - now_ms(), 0.0) / 1000
+        attempt.timer = self.loop.call_later(seconds, self._limit, attempt)
+
     def _limit(self, attempt: Attempt) -> None:
         connection = attempt.connection
         never = connection is None or connection.never_ran()
+        if attempt.write_by < attempt.deadline and not never:
+            attempt.write_by = inf  # it was written in time, and has the rest of its time for the answer
+            self._time(attempt, attempt.deadline)
+            return
         self._give_up(attempt, Result.CONNECT_FAILED if never else Result.TIMEOUT)
         backend = self.backends.get(attempt.uid)
         if backend is not None and not never and backend.heard < attempt.started:
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -289,6 +289,7 @@
             taken.body,
             action.limit_ms,
             lambda ended, result, response: self._on_attempt(held, number, ended, result, response),
+            action.within_ms,
         )
         held.attempts.append(attempt)
         if held.over or number >= self.settings.most_attempts:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from math import inf
 from typing import Any, cast
 
 import pytest
@@ -17,7 +18,7 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.net.discovery import Target
 from flintlatch.net.http1 import Response, unread
-from tests.loopback import Peer, run
+from tests.loopback import Gate, Peer, run
 
 HEAD = b"POST /answer HTTP/1.1\r\nhost: b\r\n"
 
@@ -33,9 +34,13 @@
     def list(self, *targets: Target) -> None:
         self.pool.update(targets, True)
 
-    def start(self, uid: str = "s", limit_ms: float = 30000.0, body: bytes = b"") -> Attempt:
+    def start(
+        self, uid: str = "s", limit_ms: float = 30000.0, body: bytes = b"", within_ms: float = inf
+    ) -> Attempt:
         head = HEAD + b"content-length: %d\r\n" % len(body)
-        attempt = Attempt(uid, head, body, limit_ms, lambda _, *outcome: self.outcomes.put_nowait(outcome))
+        attempt = Attempt(
+            uid, head, body, limit_ms, lambda _, *outcome: self.outcomes.put_nowait(outcome), within_ms
+        )
         self.pool.start(attempt)
         return attempt
 
@@ -380,6 +385,39 @@
     run(test())
 
 
+def test_what_must_be_written_by_then_is_not_written_later() -> None:
+    """A repeat of a keyed request: its connection comes up when the servers may have forgotten the first."""
+
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            gate = Gate.of(attempts.pool)
+            attempts.start(within_ms=30.0)
+            comes_up = await gate.knocks.get()
+            assert await attempts.result() is Result.CONNECT_FAILED
+            comes_up.set()
+            attempts.start(within_ms=30_000.0)
+            (await gate.knocks.get()).set()
+            call = await peer.calls.get()
+            assert peer.calls.empty()
+            call.reply()
+            assert await attempts.result() is Result.OK
+
+    run(test())
+
+
+def test_what_was_written_by_then_has_its_time_for_the_answer() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempt = attempts.start(within_ms=20_000.0)
+            call = await peer.calls.get()
+            attempts.pool._limit(attempt)  # as its timer does
+            assert not attempt.ended
+            call.reply()
+            assert await attempts.result() is Result.OK
+
+    run(test())
+
+
 def test_the_most_recent_connection_is_used_first() -> None:
     async def test() -> None:
         async with tries() as (attempts, peer):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from math import inf
 from typing import Any
 
 import pytest
@@ -131,6 +133,16 @@
     assert of(Fail, actions) and not of(Send, actions)
 
 
+@pytest.mark.parametrize(("effect", "within"), [(Effect.KEYED, 200.0 - 20.0), (Effect.SAFE, inf)])
+def test_a_keyed_retry_goes_out_within_its_window_or_not_at_all(effect: Effect, within: float) -> None:
+    """Its connection may take longer to come up than is left of the window."""
+    driver = Driver(settings(replace(KEYED, effect=effect)), *cells())
+    request = driver.arrive()
+    (first,) = of(Send, driver.last)
+    (again,) = of(Send, driver.end(request, Result.ERROR, after=20.0))
+    assert (first.within_ms, again.within_ms) == (inf, within)
+
+
 def test_keyed_without_room_in_its_group_fails_rather_than_leave_it() -> None:
     driver = Driver(settings(KEYED), *cells())
     request = driver.arrive()
