Know tenants and classes by names beyond ASCII

Design: names are text in the settings, UTF-8 in headers, and percent signs in paths may stand for any of it.

At fault: Reader._tenant decoding latin-1, `decode("ascii")` for the class, VALUE refusing bytes from 0x80 on.

--- a/flintlatch/net/request.py
+++ b/flintlatch/net/request.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Callable
 from typing import NamedTuple
+from urllib.parse import unquote_to_bytes
 
 from flintlatch.api import Effect, Settings
 from flintlatch.net.clock import now_ms
@@ -21,7 +22,7 @@
 # Told twice, the backend could read the other value; HTTP/1.1 asks for one host.
 SINGLE = FORWARDED | {b"x-budget-ms", b"content-length", b"transfer-encoding"}
 TARGET = re.compile(rb"/[!-~]{0,2047}")  # a longer one is nobody's path, and servers bound their first line
-VALUE = re.compile(rb"[\t -~]{0,1024}")  # more than any of these headers holds; no byte that servers dispute
+VALUE = re.compile(rb"[\t -~\x80-\xff]{0,1024}")  # more than any of these holds; no byte that servers dispute
 ID = re.compile(rb"[!-~]{1,128}")
 BUDGET = re.compile(rb"0{0,8}[1-9][0-9]{0,8}")
 COST = re.compile(rb"[0-9]{1,9}")
@@ -70,7 +71,7 @@
         if len(names) != len(set(names)) or b"host" not in headers or not TARGET.fullmatch(message.target):
             raise Bad(400)
         path = message.target.split(b"?", 1)[0]
-        cls = self.wire.classes.get(path.split(b"/")[1].decode("ascii"))
+        cls = self.wire.classes.get(as_name(unquote_to_bytes(path.split(b"/")[1])))
         if cls is None:
             raise Bad(404)
         effect = self.settings.classes[cls].effect
@@ -107,12 +108,17 @@
     def _tenant(self, name: bytes | None) -> int:
         if not self.wire.tenants:
             return 0
-        tenant = self.wire.tenants.get((name or b"").decode("latin-1"))
+        tenant = self.wire.tenants.get(as_name(name or b""))
         if tenant is None:
             raise Bad(400)
         return tenant
 
 
+def as_name(raw: bytes) -> str:
+    """A name as the settings have it; what is no UTF-8 is in none of them."""
+    return raw.decode("utf-8", "replace")
+
+
 def read_cost(value: bytes) -> float:
     """A guess at the work in microseconds, as milliseconds. What is no number is no guess, and no harm."""
     return int(value) / 1000 if COST.fullmatch(value) else 0.0
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -148,6 +148,7 @@
 
 
 def configuration(discovery: str, *targets: dict[str, Any], **limits: Any) -> dict[str, Any]:
+    more = limits.pop("settings", {})
     return {
         "name": "n0",
         "listen": "127.0.0.1:0",
@@ -163,7 +164,8 @@
             "TickMs": 5.0,
             "Limits": {"MayCancel": True, "MostTries": 4, "ConnectTimeoutMs": 20000, "ConnIdleMs": 60000}
             | limits,
-        },
+        }
+        | more,
     }
 
 
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -598,3 +598,21 @@
             client.close()
 
     run(test())
+
+
+@pytest.mark.parametrize("path", ["/se%C3%B1al/7", "/se%c3%b1al?x=%20"])
+def test_names_of_classes_and_tenants_may_be_any_text(path: str) -> None:
+    lanes = [{"Name": "se\u00f1al", "AimMs": 20000, "HardLimitMs": 30000, "Effect": "read_like"}]
+    tenants = [{"Name": name, "QuotaPerS": 100.0} for name in ("tugs", "R\u00eda & Co")]
+
+    async def test() -> None:
+        async with proxy(settings={"Lanes": lanes, "Projects": tenants}) as p:
+            client = await p.client()
+            client.send(path, "GET", x_caller="R\u00eda & Co")
+            call = await p.backends[0].calls.get()
+            assert call.line == f"GET {path} HTTP/1.1" and call.headers["x-caller"] == "R\u00eda & Co"
+            call.reply()
+            assert (await client.reply()).status == 200
+            assert (await client.ask(path, "GET", x_call_id="c2", x_caller="R\u00edo")).status == 400
+
+    run(test())
