Take settings that are there but empty as if they were not there

Design: the wire writes null for what is absent. A deployment without tenants, cold starts or an asked-for list may leave those members empty, and the program starts on it as on one that lacks them.

Seen, by reading the settings with each member null in turn: `OverShareWorth is not a number: None` and eleven more ended the start with 2, while Az, ColdMs, KeyTtlMs and eight more were taken as absent.

At fault: `raw.get(name, default)`, whose default is for a missing member only.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -25,6 +25,7 @@
     Malformed,
     Message,
     Wire,
+    given,
     listing,
     mapping,
     read_settings,
@@ -79,7 +80,7 @@
             self.discovery = env.get("LB_DISCOVERY") or text(raw["discovery"], "discovery")
             self.seed = int(text(raw["seed"], "seed"), 16)
             limits: dict[str, Any] = mapping(raw.get("limits") or {}, "limits")
-            self.sockets = whole(limits.get("sockets", 1024), "sockets")
+            self.sockets = whole(given(limits, "sockets", 1024), "sockets")
             self.tier = read_tier(raw) if self.settings.may_tell else None
             for address in (self.listen, self.discovery):
                 split_address(address)
--- a/flintlatch/settings.py
+++ b/flintlatch/settings.py
@@ -52,6 +52,12 @@
     return value
 
 
+def given(raw: Message, member: str, default: float) -> Any:
+    """A member that a deployment may lack, or leave empty because it has no use for it."""
+    value = raw.get(member)
+    return default if value is None else value
+
+
 def read_class(raw: Message) -> RequestClass:
     return RequestClass(
         aim_ms=number(raw["AimMs"], "AimMs"),
@@ -59,7 +65,7 @@
         effect=choice(EFFECTS, raw["Effect"], "Effect"),
         scope=choice({s.value: s for s in Scope}, raw.get("KeyScope") or "all", "KeyScope"),
         window_ms=number(raw.get("KeyTtlMs") or 0, "KeyTtlMs"),
-        worth=number(raw.get("Points", 1), "Points"),
+        worth=number(given(raw, "Points", 1), "Points"),
         late_worth=number(raw.get("LateWorth") or 0, "LateWorth"),
         stream=bool(raw.get("Stream")),
     )
@@ -72,27 +78,27 @@
     tenants = [mapping(t, "Projects") for t in listing(info.get("Projects") or [], "Projects")]
     return Settings(
         classes=tuple(read_class(mapping(c, "Lanes")) for c in listing(info["Lanes"], "Lanes")),
-        proxies=whole(info.get("Balancers", 1), "Balancers"),
-        me=whole(info.get("Me", 0), "Me"),
+        proxies=whole(given(info, "Balancers", 1), "Balancers"),
+        me=whole(given(info, "Me", 0), "Me"),
         zone=whole(info.get("Az") or 0, "Az"),
         zones=max(1, len(listing(info.get("Dcs") or [], "Dcs"))),
         quotas=tuple(number(t["QuotaPerS"], "QuotaPerS") for t in tenants),
-        over_share_worth=number(info.get("OverShareWorth", 1), "OverShareWorth"),
-        tick_ms=number(info.get("TickMs", 1), "TickMs"),
+        over_share_worth=number(given(info, "OverShareWorth", 1), "OverShareWorth"),
+        tick_ms=number(given(info, "TickMs", 1), "TickMs"),
         ask_for_list=info.get("Discovery") == "ask",
-        must_ask_ms=number(rules.get("MustAskInMs", 10000), "MustAskInMs"),
+        must_ask_ms=number(given(rules, "MustAskInMs", 10000), "MustAskInMs"),
         may_cancel=bool(limits.get("MayCancel")),
         may_duplicate=bool(limits.get("MayDuplicate")),
         may_probe=bool(limits.get("Probes")),
         may_tell=bool(limits.get("Peers")),
         retry_after=bool(limits.get("RetryAfter")),
         max_retry_after_ms=number(limits.get("MaxRetryAfterMs") or 0, "MaxRetryAfterMs"),
-        most_attempts=whole(limits.get("MostTries", 1), "MostTries"),
+        most_attempts=whole(given(limits, "MostTries", 1), "MostTries"),
         warm_keys=bool(domain.get("WarmKeys")),
-        start_capacity=number(rules.get("StartCapacity", 1), "StartCapacity"),
+        start_capacity=number(given(rules, "StartCapacity", 1), "StartCapacity"),
         cold_ms=number(rules.get("ColdMs") or 0, "ColdMs"),
-        fall_multiple=number(rules.get("FallMultiple", 2), "FallMultiple"),
-        fall_ms=number(rules.get("OverloadForMs", 1000), "OverloadForMs"),
+        fall_multiple=number(given(rules, "FallMultiple", 2), "FallMultiple"),
+        fall_ms=number(given(rules, "OverloadForMs", 1000), "OverloadForMs"),
     )
 
 
@@ -123,9 +129,9 @@
         tenants=numbered([t["Name"] for t in tenants], "Name"),
         zones=numbered(listing(info.get("Dcs") or [], "Dcs"), "Dcs"),
         kinds=numbered(listing(info.get("Kinds") or [], "Kinds"), "Kinds"),
-        connect_timeout_ms=number(limits.get("ConnectTimeoutMs", 250), "ConnectTimeoutMs"),
-        conn_idle_ms=number(limits.get("ConnIdleMs", 15000), "ConnIdleMs"),
-        drain_grace_ms=number(rules.get("DrainGraceMs", inf), "DrainGraceMs"),
+        connect_timeout_ms=number(given(limits, "ConnectTimeoutMs", 250), "ConnectTimeoutMs"),
+        conn_idle_ms=number(given(limits, "ConnIdleMs", 15000), "ConnIdleMs"),
+        drain_grace_ms=number(given(rules, "DrainGraceMs", inf), "DrainGraceMs"),
     )
     for name in ("connect_timeout_ms", "conn_idle_ms"):
         if not 0 < getattr(wire, name) < inf:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from flintlatch.__main__ import Config
 from tests.loopback import LIMIT_S, Client, Peer, configuration, listing, run, target
 
 GOOD = configuration("127.0.0.1:1")
@@ -57,6 +58,31 @@
     assert words in done.stderr
 
 
+def test_what_a_deployment_leaves_empty_is_as_if_it_were_not_there(tmp_path: Path) -> None:
+    def read(value: dict[str, Any]) -> Config:
+        lane = {"Name": "a", "AimMs": 300, "HardLimitMs": 900, "Effect": "read_like"}
+        info = value | {"Lanes": [lane | ({"Points": None, "KeyScope": None} if value else {})]}
+        return Config(
+            write(tmp_path, GOOD | {"settings": info, "limits": {"sockets": None} if value else {}})
+        )
+
+    parts = {
+        "Limits": ("MostTries", "ConnectTimeoutMs", "ConnIdleMs", "MaxRetryAfterMs", "MayCancel", "Peers"),
+        "Obligations": (
+            "ColdMs",
+            "StartCapacity",
+            "FallMultiple",
+            "OverloadForMs",
+            "MustAskInMs",
+            "DrainGraceMs",
+        ),
+    }
+    empty: dict[str, Any] = {name: dict.fromkeys(members) for name, members in parts.items()}
+    empty |= dict.fromkeys(("Balancers", "Me", "Az", "Dcs", "Kinds", "Projects", "OverShareWorth", "TickMs"))
+    given, absent = read(empty), read({})
+    assert (given.settings, given.wire, given.sockets) == (absent.settings, absent.wire, absent.sockets)
+
+
 def test_without_a_configuration_it_says_so() -> None:
     env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
     done = subprocess.run(COMMAND, env=env, capture_output=True, text=True, timeout=LIMIT_S, check=False)
