Leave a new connection open that has been asked just as its time for silence ends

Design: a connection is silent while nothing of it lies in the kernel either, as where a place is taken or a stop closes.

Seen, by a test in which a request lies unread at the moment of the look: the connection was closed with it, without an answer. At a busy moment the turn in which its time ended came before the one in which it was read. Ruled out: idle connections, the cap and the stop, which look already; half-read requests, which are answered with 408.

At fault: Client.late closing what had not begun without a look.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -146,7 +146,7 @@
         if self.begun:
             self._bad(408)
             self._go_on()
-        else:
+        elif not unread(self.transport):  # else it has just been asked
             self.transport.close()
 
     # httptools calls these
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -616,3 +616,28 @@
             assert (await client.ask(path, "GET", x_call_id="c2", x_caller="R\u00edo")).status == 400
 
     run(test())
+
+
+@pytest.mark.parametrize("closes", ["late", "stop"])
+def test_a_connection_that_has_just_been_asked_is_not_closed_as_silent(closes: str) -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            while not p.frontend.waiting:
+                await asyncio.sleep(0.001)
+            (inside,) = p.frontend.clients
+            inside.transport.pause_reading()  # as if no turn had come yet in which to read
+            client.send()
+            while not unread(inside.transport):
+                await asyncio.sleep(0.001)
+            p.frontend.waiting[inside] -= 10_000.0
+            if closes == "late":
+                inside.late()
+            else:
+                p.frontend._close_unasked()
+            inside.transport.resume_reading()
+            (await p.backends[0].calls.get()).reply()
+            assert (await client.reply()).status == 200
+            client.close()
+
+    run(test())
