Test signals at the edges of the stop with a hung backend, so that time does not decide

The program's stop lasts as long as its hung request does: a slow machine has time for each signal. The answer it gets shows the bound on the stop in the real program.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -7,6 +7,7 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -15,7 +16,7 @@
 import pytest
 
 from flintlatch.__main__ import Config
-from tests.loopback import LIMIT_S, Client, Peer, configuration, listing, run, target
+from tests.loopback import LIMIT_S, Client, Peer, configuration, listing, request, run, target
 
 GOOD = configuration("127.0.0.1:1")
 COMMAND = [sys.executable, "-m", "flintlatch"]
@@ -202,38 +203,51 @@
     run(test())
 
 
-def test_signals_before_and_after_the_loop_end_or_change_nothing_by_themselves(tmp_path: Path) -> None:
-    """SIGHUP while the configuration is read; SIGTERM twice, with a SIGHUP in between."""
-    env = write(tmp_path, "")
-    config = tmp_path / "config.json"
+def reading_its_configuration(folder: Path) -> tuple[subprocess.Popen[str], Path]:
+    """A program that waits for what its configuration says, once that is open for writing."""
+    env = write(folder, "")
+    config = folder / "config.json"
     config.unlink()
     os.mkfifo(config)
-    program = subprocess.Popen(COMMAND, env=env, stderr=subprocess.PIPE, text=True)
+    return subprocess.Popen(COMMAND, env=env, stderr=subprocess.PIPE, text=True), config
+
+
+def test_signals_before_and_after_the_loop_end_or_change_nothing_by_themselves(tmp_path: Path) -> None:
+    """SIGHUP while the configuration is read; SIGTERM twice, with a SIGHUP in between."""
+    program, path = reading_its_configuration(tmp_path)
     assert program.stderr is not None
-    with config.open("w") as file:  # open at both ends now: the program waits for what it says
-        program.send_signal(signal.SIGHUP)
-        file.write(json.dumps(GOOD))
-    assert "listens on" in program.stderr.readline()
-    program.send_signal(signal.SIGTERM)
-    while "stopping" not in (line := program.stderr.readline()):
-        assert line
-    config.unlink()  # the file can't be read: one line, and the stop goes on
-    program.send_signal(signal.SIGHUP)
-    while "going on as before" not in (line := program.stderr.readline()):
-        assert line
-    program.send_signal(signal.SIGTERM)
+    with socket.socket() as hung:  # the kernel takes connections for it, and it never answers
+        hung.bind(("127.0.0.1", 0))
+        hung.listen()
+        backend = target("s", "{}:{}".format(*hung.getsockname()))
+        with path.open("w") as file:
+            program.send_signal(signal.SIGHUP)
+            file.write(json.dumps(configuration("127.0.0.1:1", backend)))
+        host, port = program.stderr.readline().split()[-1].split(":")
+        with socket.create_connection((host, int(port))) as client:
+            client.sendall(request())
+            program.send_signal(signal.SIGTERM)
+            shown(program, "stopping")
+            path.unlink()  # the file can't be read: one line, and the stop goes on
+            program.send_signal(signal.SIGHUP)
+            shown(program, "going on as before")
+            program.send_signal(signal.SIGTERM)
+            client.settimeout(LIMIT_S)
+            assert client.recv(1000).startswith(b"HTTP/1.1 504 ")
     rest = program.stderr.read()
     assert program.wait() == 0
     assert "bug" not in rest and "Traceback" not in rest
 
 
+def shown(program: subprocess.Popen[str], words: str) -> None:
+    assert program.stderr is not None
+    while words not in (line := program.stderr.readline()):
+        assert line
+
+
 def test_sigterm_before_the_loop_ends_the_program_without_a_word(tmp_path: Path) -> None:
-    env = write(tmp_path, "")
-    config = tmp_path / "config.json"
-    config.unlink()
-    os.mkfifo(config)
-    program = subprocess.Popen(COMMAND, env=env, stderr=subprocess.PIPE, text=True)
-    with config.open("w"):
+    program, path = reading_its_configuration(tmp_path)
+    with path.open("w"):
         program.send_signal(signal.SIGTERM)
         assert program.wait() == -signal.SIGTERM
     assert program.stderr is not None and program.stderr.read() == ""
