Ask the list anew within 3.5 s after a failed call, however many proxies there are

Cause: after a failed call each proxy waited for its turn, 10 ms each, up to the obliged 10 s. From 350 proxies on that passed 3.5 s, and at any number a silent watch (seen after 2 s) whose next call hangs (1 s) had two such waits; 4 s for a lone proxy left no time for a call that hangs and one that answers late. TERMS: a change counts as told 6 s after discovery had it and could be reached, whatever else is allowed after a failed call. Worst timelines: 2 + 0.75 + 1 + 0.75 + 1 = 5.5 s and 1 + 3.5 + 1 = 5.5 s.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -62,7 +62,9 @@
 ASK_FIRST_MS, ASK_DOUBLINGS = 250.0, 6  # ms until one is made again, doubled at each, so often at most
 MOVED_MS = 4000.0  # ms after a move to another list service in which its news counts as told
 SOON_MS = 100.0  # ms at most until a failed call is made again then, or where lists are pushed: it is free
-ASK_LATEST_MS = 4000.0  # ms at most until the list is asked: what it has to tell counts as told 6 s later
+# ms at most until the next call: what could be read counts as told after 6 s, 1 s for a call that hangs and
+# 1 s for the answer among them; the first two times 2 s are gone, in which a watch fell silent unseen.
+ASK_LATEST_MS, ASK_SOON_MS = 3500.0, 750.0
 WARM_KEEP = 0.9  # part of the load known of a warm server that is kept each second without one to look at
 COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple
 
@@ -620,11 +622,9 @@
     def on_list(self, now: float, event: ServerList) -> None:
         if event.kind is ListKind.FAILED:
             self.ask_failures = min(self.ask_failures + 1, ASK_DOUBLINGS)
-            # At least each proxy's turn: hundreds that call every few seconds would keep the service down.
-            # A failed call lengthens the time obliged, so the longest wait is still within it.
-            turns = min(ASK_RETRY_MS * self.settings.proxies, self.settings.must_ask_ms)
-            longest = min(self.settings.must_ask_ms / 2, ASK_LATEST_MS)
-            wait = max(min(ASK_FIRST_MS * 2**self.ask_failures, longest), turns)
+            turns = ASK_RETRY_MS * self.settings.proxies  # hundreds that call at once would keep it down
+            most = ASK_SOON_MS if self.ask_failures <= 2 else ASK_LATEST_MS
+            wait = min(max(ASK_FIRST_MS * 2**self.ask_failures, turns), most, self.settings.must_ask_ms / 2)
             if now < self.moved_at + MOVED_MS or not self.settings.ask_for_list:
                 wait = SOON_MS
             self.ask_at = now + wait * self.rng.uniform(0.5, 1.0)
