Let a call for the list that is not answered in time keep its place in the line

So the service answers so many calls in turn, and also those that were given up after a second: who asks anew stands at the end of the line each time and may never be served. A model of such a line (32 proxies, four calls a second) serves 6 of 32 in a minute with 1 s of patience, 12 with 2 s, 15 with 2.5 s, all in 8 s if calls keep their places. Change: a call that opens a watch is given 2 s; then it counts as failed, as before, and goes on by itself, up to three at a time where the list must be asked for; whichever is answered first is the watch. The module makes the next call within 3.5 s of the last one's start (0.75 s after it failed at least, and at most the first two times); a new process asks within 2.5 s (was 3.5), so that one hung call and its repeat still fit into 6 s. Tests: seen to fail with one place (the line of 32 proxies, the late answer, the bound on calls out). At fault: SILENT_MS as the time of a first call, and `_hang_up` of a call that was only late.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -62,9 +62,10 @@
 ASK_FIRST_MS, ASK_DOUBLINGS = 250.0, 6  # ms until one is made again, doubled at each, so often at most
 MOVED_MS = 4000.0  # ms after a move to another list service in which its news counts as told
 SOON_MS = 100.0  # ms at most until a failed call is made again then, or where lists are pushed: it is free
-# ms at most until the next call: what could be read counts as told after 6 s, 1 s for a call that hangs and
-# 1 s for the answer among them; the first two times 2 s are gone, in which a watch fell silent unseen.
-ASK_LATEST_MS, ASK_SOON_MS = 3500.0, 750.0
+# ms at most until the first call, from a failed one to the next, and from its start to the next. What could
+# be read counts as told after 6 s: a call may hang for 2 s, and the first two times 2 s more are gone, as a
+# watch had fallen silent unseen.
+ASK_START_MS, ASK_SOON_MS, ASK_LATEST_MS = 2500.0, 750.0, 3500.0
 WARM_KEEP = 0.9  # part of the load known of a warm server that is kept each second without one to look at
 COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple
 
@@ -267,7 +268,7 @@
         self.turned_away = RETRY_BURST  # repeats still to be expected
         self.beating, self.second_at, self.beat_at = False, 0.0, 0.0
         self.ask_at: float | None = None
-        self.ask_failures, self.moved_at = 0, -inf
+        self.ask_failures, self.asked_at, self.moved_at = 0, -inf, -inf
         self.by_hash: dict[int, Server] = {}  # as peers name them
         self.to_tell: list[Server] = []  # those seen to fail in this step
         self.out: list[Action] = []
@@ -310,7 +311,7 @@
             # Proxies restarted together must not call the list service in the same moment: each has its
             # turn. Past the time the settings oblige, a proxy counts as told of drains it never heard of.
             proxies, me = self.settings.proxies, self.settings.me
-            span = min(ASK_TURN_MS * proxies, ASK_SPREAD * self.settings.must_ask_ms, ASK_LATEST_MS)
+            span = min(ASK_TURN_MS * proxies, ASK_SPREAD * self.settings.must_ask_ms, ASK_START_MS)
             self.ask_at = now + span * (me % proxies + self.rng.random()) / proxies
 
     # 1. Events
@@ -623,7 +624,7 @@
         if event.kind is ListKind.FAILED:
             self.ask_failures = min(self.ask_failures + 1, ASK_DOUBLINGS)
             turns = ASK_RETRY_MS * self.settings.proxies  # hundreds that call at once would keep it down
-            most = ASK_SOON_MS if self.ask_failures <= 2 else ASK_LATEST_MS
+            most = max(ASK_SOON_MS, 0 if self.ask_failures <= 2 else ASK_LATEST_MS - (now - self.asked_at))
             wait = min(max(ASK_FIRST_MS * 2**self.ask_failures, turns), most, self.settings.must_ask_ms / 2)
             if now < self.moved_at + MOVED_MS or not self.settings.ask_for_list:
                 wait = SOON_MS
@@ -690,6 +691,7 @@
         self.beat_at = now
         if self.ask_at is not None and now >= self.ask_at:
             self.out.append(Watch())
+            self.asked_at = now
             # Should no word come back, ask anew before this proxy counts as told of what it never heard.
             self.ask_at = now + self.settings.must_ask_ms / 2
         if now - self.second_at >= 1000:
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -20,6 +20,11 @@
 # opened anew, and once more if connecting hangs; so it waits for a second and is given a second to answer.
 WAIT_MS = 1000.0
 SILENT_MS = 1000.0
+# A call that opens a watch may hang, or wait its turn where many ask at once. So after this time another is
+# made, and those before it keep their places in the line, so many in all: asking anew at its end each time,
+# nobody might ever be served.
+CALL_MS = 2000.0
+PLACES = 3
 # A pushed list counts as told in the moment its service is back: a watch left open then, and the next call,
 # may use up so much of the drain grace each. The agent is on this machine, and slow only when that is.
 GRACE_PART = 0.4
@@ -110,10 +115,13 @@
     ) -> None:
         most = max(wire.drain_grace_ms * GRACE_PART, LEAST_MS) if pushed else inf
         self.wait_ms, self.silent_ms = int(min(WAIT_MS, most)), min(SILENT_MS, most)
+        self.call_ms = min(CALL_MS, most)
         self.address, self.wire, self.rev = address, wire, rev
         self.on_list, self.on_failure = on_list, on_failure
-        self.call: Call | None = None
+        self.call: Call | None = None  # that of the watch that stands
         self.task: asyncio.Task[None] | None = None
+        self.asked: dict[asyncio.Task[Listing], Call] = {}  # calls that open a watch, the latest last
+        self.places = 1 if pushed else PLACES
 
     def watch(self) -> None:
         if self.task is None or self.task.done():
@@ -132,40 +140,83 @@
         if self.task is not None:
             self.task.cancel()
         self._hang_up()
+        self._give_up(0)
 
     def _hang_up(self) -> None:
         if self.call is not None:
             self.call.close()
         self.call = None
 
+    def _give_up(self, places: int) -> None:
+        """Leave so many of the calls that open a watch out, the latest."""
+        while len(self.asked) > places:
+            task = next(iter(self.asked))
+            self.asked.pop(task).close()
+            task.cancel()
+
     async def _connect(self, call: Call) -> None:
         host, port = split_address(self.address)
         await asyncio.get_running_loop().create_connection(lambda: call, host, port)
 
     async def _run(self) -> None:
-        wait = FIRST_WAIT_MS
-        while True:
-            try:
-                async with asyncio.timeout((wait + self.silent_ms) / 1000):
-                    news = await self._fetch(wait)
+        try:
+            news = await self._open()
+            while True:
                 self.on_list(news)
-            except Exception as error:
-                # Whatever went wrong here, the module must hear of it: with a watch that has died unseen it
-                # would believe its list for good and send to what drains.
-                self._hang_up()
-                self.on_failure(f"{type(error).__name__}: {error}")
-                return
-            self.rev, wait = news.rev, self.wait_ms
-
-    async def _fetch(self, wait: int) -> Listing:
-        if self.call is None or not self.call.usable:
+                self.rev = news.rev
+                async with asyncio.timeout((self.wait_ms + self.silent_ms) / 1000):
+                    if self.call is None or not self.call.usable:
+                        self._hang_up()
+                        self.call = Call()  # known before it comes up, which may be just as it is hung up
+                    news = await self._fetch(self.call, self.wait_ms)
+        except Exception as error:
+            # Whatever went wrong here, the module must hear of it: with a watch that has died unseen it
+            # would believe its list for good and send to what drains.
             self._hang_up()
-            self.call = Call()  # known before it comes up, which may be just as it is hung up
-            await self._connect(self.call)
+            self.on_failure(f"{type(error).__name__}: {error}")
+
+    async def _open(self) -> Listing:
+        """The first answer to any call that opens a watch, those of earlier tries that are still out too."""
+        latest = self._answered()
+        if latest is None:
+            self.call = call = Call()
+            latest = asyncio.get_running_loop().create_task(self._fetch(call, FIRST_WAIT_MS))
+            self.asked[latest] = call
+            latest.add_done_callback(self._on_asked)
+            self._give_up(self.places)
+        try:
+            async with asyncio.timeout(self.call_ms / 1000):
+                while not latest.done() and self._answered() is None:
+                    await asyncio.wait(self.asked, return_when=asyncio.FIRST_COMPLETED)
+        except TimeoutError:
+            self.call = None  # it goes on by itself
+            self._give_up(self.places if self.places > 1 else 0)
+            raise
+        answered = self._answered() or latest
+        self.call = self.asked.pop(answered)
+        news = answered.result()  # or why it failed
+        self._give_up(0)
+        return news
+
+    def _answered(self) -> asyncio.Task[Listing] | None:
+        return next((t for t in self.asked if t.done() and not t.cancelled() and not t.exception()), None)
+
+    def _on_asked(self, task: asyncio.Task[Listing]) -> None:
+        """One of the calls that are out has ended, maybe after this proxy had stopped waiting for it."""
+        if task.cancelled() or task not in self.asked:
+            return
+        if task.exception() is None:
+            self.watch()
+        elif self.task is None or self.task.done() or task is not next(reversed(self.asked)):
+            self.asked.pop(task).close()  # that the latest one failed is told where it is waited for
+
+    async def _fetch(self, call: Call, wait: int) -> Listing:
+        if call.transport is None:
+            await self._connect(call)
         path = "/registry/instances"
         if self.rev is not None:
             path += f"?since={self.rev}&timeout_ms={wait}"
-        response = await self.call.get(f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode())
+        response = await call.get(f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode())
         if response.status != 200:
             raise Malformed(f"status {response.status}")
         try:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import json
+from collections import Counter, deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
+from math import inf
 from random import Random
 from typing import Any
 
@@ -99,7 +102,8 @@
 @pytest.mark.parametrize("how", ["503", "reset", "refused", "silent"])
 def test_each_failed_call_is_told_once(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     if how == "silent":
-        monkeypatch.setattr(discovery_module, "SILENT_MS", 50)
+        monkeypatch.setattr(discovery_module, "CALL_MS", 50)
+        monkeypatch.setattr(discovery_module, "PLACES", 1)
 
     async def test() -> None:
         if how == "refused":
@@ -171,6 +175,13 @@
     run(test())
 
 
+def until_called(driver: Driver) -> float:
+    start = driver.now
+    while not of(Watch, driver.beat()):
+        pass
+    return driver.now - start
+
+
 class Latest(Random):
     def uniform(self, a: float, b: float) -> float:
         return b
@@ -180,10 +191,7 @@
     """ms at most from a failed call to the next one: the latest that chance may choose."""
     driver.balancer.rng = Latest(1)
     driver.step(ServerList(ListKind.FAILED))
-    start = driver.now
-    while not of(Watch, driver.beat()):
-        pass
-    return driver.now - start
+    return until_called(driver)
 
 
 def times(pushed: bool, grace_ms: float) -> Discovery:
@@ -203,12 +211,11 @@
     config = settings(ask_for_list=not pushed, proxies=proxies, must_ask_ms=must_ask_ms)
     driver = Driver(config, *fleet(2))
     if not pushed:
-        assert of(Watch, driver.beats(3_525))  # as is a new process that has not asked yet
+        assert of(Watch, driver.beats(2_525))  # as is a new process that has not asked yet
     driver.step(ServerList(ListKind.FULL, tuple(fleet(2))))
     discovery = times(pushed, 300.0)
     silent = discovery.wait_ms + discovery.silent_ms
-    hangs = discovery_module.FIRST_WAIT_MS + discovery.silent_ms
-    assert silent + until_asked(driver) + hangs + until_asked(driver) < 6_000
+    assert silent + until_asked(driver) + discovery.call_ms + until_asked(driver) < 6_000
 
 
 @pytest.mark.parametrize("failures", [1, 2, 3, 4, 8, 50])
@@ -216,21 +223,97 @@
 def test_the_list_is_read_within_6_s_of_the_services_return(proxies: int, failures: int) -> None:
     # It returns just after a call has begun that hangs, and takes as long to answer the next as a call may.
     driver = Driver(settings(ask_for_list=True, proxies=proxies, must_ask_ms=10_000.0), *fleet(2))
-    driver.beats(3_525)
-    for _ in range(failures - 1):
+    for _ in range(failures - 1):  # refused at once
+        until_called(driver)
         driver.step(ServerList(ListKind.FAILED))
-    call = discovery_module.FIRST_WAIT_MS + times(False, 300.0).silent_ms
+    until_called(driver)
+    call = times(False, 300.0).call_ms
+    driver.beats(call)
     assert call + until_asked(driver) + call < 6_000
 
 
 @pytest.mark.parametrize("proxies", [200, 3_400])
 def test_a_new_process_whose_first_call_hangs_has_the_list_within_6_s(proxies: int) -> None:
     driver = Driver(settings(ask_for_list=True, proxies=proxies, me=proxies - 1), *fleet(2))
-    start = driver.now
-    while not of(Watch, driver.beat()):
-        pass
-    call = discovery_module.FIRST_WAIT_MS + times(False, 300.0).silent_ms
-    assert driver.now - start + call + until_asked(driver) < 6_000
+    assert until_called(driver) + times(False, 300.0).call_ms + until_asked(driver) < 6_000
+
+
+def test_all_get_the_list_from_a_service_that_answers_so_many_calls_in_turn() -> None:
+    """Also those given up. If each asked anew at the end of the line, the first few alone would get it."""
+    config, each_ms, call_ms = settings(ask_for_list=True, proxies=32), 250.0, times(False, 300.0).call_ms
+    drivers = [Driver(replace(config, me=me), *fleet(2), seed=me) for me in range(32)]
+    line: deque[tuple[int, int]] = deque()  # number of the proxy, of its call
+    calls, due = (
+        Counter[int](),
+        dict[int, float](),
+    )  # calls of each, and when it gives up the last
+    served: set[int] = set()
+    for tick in range(400):
+        for me, driver in enumerate(drivers):
+            if of(Watch, driver.beat()) and me not in due and me not in served:
+                calls[me] += 1
+                line.append((me, calls[me]))
+                due[me] = driver.now + call_ms
+            if due.get(me, inf) <= driver.now:
+                del due[me]
+                driver.step(ServerList(ListKind.FAILED))
+        if line and tick % int(each_ms / 25) == 0:
+            me, number = line.popleft()
+            if number > calls[me] - discovery_module.PLACES and me not in served:
+                served.add(me)
+                due.pop(me, None)
+                drivers[me].step(ServerList(ListKind.FULL, tuple(fleet(2))))
+    assert len(served) == 32  # within 10 s, 2 s more than the service needs for all
+
+
+def test_a_call_given_up_keeps_its_place_in_the_line(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_module, "CALL_MS", 50)
+
+    async def test() -> None:
+        async with watching() as (heard, peer):
+            first = await peer.calls.get()
+            await heard.failures.get()
+            heard.discovery.watch()
+            second = await peer.calls.get()
+            await heard.failures.get()
+            reply(first, listing(42))  # nobody waits for it just now
+            assert (await heard.lists.get()).rev == 42
+            await second.closed.wait()
+            third = await peer.calls.get()  # the watch stands, on the connection that was answered
+            assert third.connection == first.connection and "since=42&" in third.line
+            assert heard.failures.empty() and heard.lists.empty()
+
+    run(test())
+
+
+def test_so_many_calls_are_out_at_once_and_a_failed_one_is_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_module, "CALL_MS", 50)
+
+    async def test() -> None:
+        async with watching() as (heard, peer):
+            calls = []
+            for _ in range(4):
+                heard.discovery.watch()
+                calls.append(await peer.calls.get())
+                await heard.failures.get()
+            await calls[0].closed.wait()
+            assert len(heard.discovery.asked) == discovery_module.PLACES
+            calls[1].reply(status=503)
+            await calls[1].closed.wait()
+            assert len(heard.discovery.asked) == 2 and heard.failures.empty()
+            heard.discovery.call_ms = 1e6
+            heard.discovery.watch()
+            latest = await peer.calls.get()
+            calls[2].reply(status=503)  # while the latest is waited for
+            await calls[2].closed.wait()
+            while len(heard.discovery.asked) > 2:
+                await asyncio.sleep(0.001)
+            assert heard.failures.empty()
+            reply(latest, listing(42))
+            assert (await heard.lists.get()).rev == 42
+            await calls[3].closed.wait()
+
+    run(test())
 
 
 @pytest.mark.parametrize("grace_ms", [500.0, 2_500.0, 6_000.0])
