Let many proxies draw for each window whether they may send to a cold server

Cause: a cold server's part of one of many is under one request a window, and was saved up to one while nothing came. After a quiet moment all that keep to the server held one and sent them in the same burst. Seen with 3 to 30 modules before warm servers and up to 20 cold ones (864 fleets, 11,448 cold servers, every window against N + 2 x root of N + 2): 6 over, five of them after 4 s of quiet, the worst 1.18 of the bound. Change: where the part is under one request a window, each draws for each window whether it has one and loses what it doesn't use; the windows begin at drawn times.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -120,6 +120,7 @@
         self.payoff, self.plays = 1.0, 0.0
         self.strikes, self.rest_until, self.rest_ms = 0, 0.0, REST_MS[0]
         self.answered, self.rate, self.tokens = 0, 0.0, 0.0
+        self.draw_at = 0.0  # when it is next drawn whether a cold one may get a request of this proxy
         self.blames: list[tuple[float, int]] = []  # when and by which proxy it was last seen to fail
         self.told_at = -inf  # when this proxy last told the others of it
         self.silent_from = 0.0  # its last answer, or the first send since it held nothing of ours
@@ -682,6 +683,7 @@
                 server.limit = min(1.0, server.limit)
                 # All proxies hear of it at once: their first requests must not come at once as well.
                 server.tokens = self.rng.random() if self.sparse else 0.0
+                server.draw_at = now + server.tokens * self.settings.fall_ms
 
     def on_beat(self, now: float) -> None:
         self.out.append(SetTimer(BEAT_MS, 0))
@@ -776,6 +778,13 @@
         # Nothing observed yet: one request a window, of all who keep to this server.
         sharers = max(1.0, settings.proxies * self.near_size / max(len(self.active), 1))
         rate = max(rate, 1 / settings.fall_ms / (sharers if self.sparse else 1))
+        if self.sparse and rate * settings.fall_ms < 1:
+            # One request saved up by each while little came would be too many when all come at once: each
+            # draws for each window whether it has one, and loses what it doesn't use.
+            if now >= server.draw_at:
+                server.tokens = float(self.rng.random() < rate * settings.fall_ms)
+                server.draw_at = now + settings.fall_ms
+            return
         burst = max(1.0, rate * settings.fall_ms / 4)
         server.tokens = min(burst, server.tokens + rate * (now - self.beat_at))
 
--- /dev/null
+++ b/tests/test_cold_fleet.py
@@ -0,0 +1,139 @@
+"""A cold server under the sum of what all proxies send it, as the acceptance counts it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+from itertools import count
+from math import sqrt
+from random import Random
+
+import pytest
+
+from flintlatch.api import (
+    Arrival,
+    ListKind,
+    Outcome,
+    RequestClass,
+    Result,
+    Send,
+    ServerInfo,
+    ServerList,
+    SetTimer,
+    TimerFired,
+)
+from flintlatch.choice import BEAT_MS, Balancer
+from tests.support import settings
+
+COLD_MS, WINDOW_MS, MULTIPLE, START = 24_000.0, 1000.0, 3.0, 0.16
+TICK_MS, LATENCY_MS = 5.0, 50.0
+CLASS = RequestClass(500.0, 2500.0)
+
+
+class Fleet:
+    """Proxies, each a module of its own, before warm servers that answer all they get after the same time."""
+
+    def __init__(self, proxies: int, warm: int, each: float, shares: list[float], seed: int = 1) -> None:
+        self.proxies, self.each, self.shares = proxies, each, shares  # each: requests/s a warm server can do
+        self.random, self.ids, self.now = Random(seed), count(), 100_000.0
+        self.servers = [ServerInfo(f"10.0.0.{n}:80") for n in range(warm)]
+        self.modules: dict[int, Balancer] = {}
+        self.due: list[tuple[float, int, int, object]] = []
+        self.sent: dict[str, list[float]] = {}  # when something was sent to each cold one
+        for me in range(proxies):
+            self.start(me)
+
+    def start(self, me: int) -> None:
+        """Start it, or start it anew: nothing of the process before it remains."""
+        self.due = [due for due in self.due if due[2] != me]
+        heapify(self.due)
+        config = settings(CLASS, proxies=self.proxies, me=me, start_capacity=START, cold_ms=COLD_MS,
+                          fall_multiple=MULTIPLE, fall_ms=WINDOW_MS, may_tell=True)  # fmt: skip
+        self.modules[me] = Balancer(config, self.random.getrandbits(32))
+        self.tell(me, ListKind.SAVED, self.servers)
+
+    def tell(self, me: int, kind: ListKind, entries: list[ServerInfo]) -> None:
+        self.step(me, ServerList(kind, tuple(entries)))
+
+    def step(self, me: int, event: object) -> None:
+        for action in self.modules[me].step(self.now, [event]):  # type: ignore[list-item]
+            if isinstance(action, Send):
+                if action.server in self.sent:
+                    self.sent[action.server].append(self.now)
+                ended = Outcome(action.request, 0, Result.OK, LATENCY_MS, True)
+                heappush(self.due, (self.now + LATENCY_MS, next(self.ids), me, ended))
+            elif isinstance(action, SetTimer):
+                heappush(self.due, (self.now + BEAT_MS, next(self.ids), me, TimerFired(0)))
+
+    def run(self, ms: float, load: float) -> None:
+        """`load`: of what all servers can do together when warm, over all proxies by their shares."""
+        end, total = self.now + ms, load * self.each * len(self.servers) / 1000
+        following = self.now + self.random.expovariate(total) if total else end
+        while self.now < end:
+            self.now = min(end, following, self.due[0][0])
+            while self.due and self.due[0][0] <= self.now:
+                _, _, me, event = heappop(self.due)
+                self.step(me, event)
+            if following <= self.now < end:
+                me = self.random.choices(range(self.proxies), self.shares)[0]
+                self.step(me, Arrival(f"r{next(self.ids)}", 0, 0, None, self.now + 2500.0))
+                following = self.now + self.random.expovariate(total)
+
+    def join(self, cold: int) -> None:
+        """Cold servers that all learn of at once."""
+        new = [ServerInfo(f"10.9.9.{n}:80", started=self.now) for n in range(cold)]
+        self.sent, self.born, self.servers = {s.server: [] for s in new}, self.now, [*self.servers, *new]
+        for me in self.modules:
+            self.tell(me, ListKind.CHANGES, new)
+
+    def worst(self) -> float:
+        """The greatest part of its bound that any cold server got in any window; above 1 it falls over."""
+        return max(self.part(sent) for sent in self.sent.values())
+
+    def part(self, sent: list[float]) -> float:
+        worst, first = 0.0, 0
+        for last, at in enumerate(sent):
+            while sent[first] <= at - WINDOW_MS:
+                first += 1
+            warmth = START + (1 - START) * min(1.0, (at - self.born) / COLD_MS)
+            allowed = MULTIPLE * self.each * warmth * WINDOW_MS / 1000
+            worst = max(worst, (last - first + 1) / (allowed + 2 * sqrt(allowed) + 2))
+        return worst
+
+
+def harmonic(proxies: int) -> list[float]:
+    """Uneven shares of the traffic: the second proxy gets half of what the first gets, and so on."""
+    return [1 / (place + 1) for place in range(proxies)]
+
+
+@pytest.mark.parametrize(("proxies", "shares"), [(3, harmonic), (20, None), (30, harmonic), (200, harmonic)])
+@pytest.mark.parametrize(("warm", "cold"), [(20, 20), (8, 12)])
+def test_a_burst_after_a_quiet_time_does_not_push_a_cold_server_over(
+    proxies: int, shares: Callable[[int], list[float]] | None, warm: int, cold: int
+) -> None:
+    world = Fleet(proxies, warm, 2.0, shares(proxies) if shares else [1.0] * proxies)
+    world.run(3_000, 0.7)
+    world.join(cold)
+    world.run(4_000, 0.0)
+    world.run(1_500, 1.5)
+    assert 0 < world.worst() <= 1
+
+
+@pytest.mark.parametrize("proxies", [3, 20, 30, 200])
+def test_cold_servers_hold_where_no_proxy_knows_what_a_warm_one_does(proxies: int) -> None:
+    world = Fleet(proxies, 0, 2.0, harmonic(proxies))
+    world.join(20)
+    world.run(3_000, 1.5)
+    assert 0 < world.worst() <= 1
+
+
+@pytest.mark.parametrize("proxies", [3, 20, 30, 200])
+def test_cold_servers_hold_where_half_of_the_proxies_started_later_than_they(proxies: int) -> None:
+    world = Fleet(proxies, 8, 6.0, harmonic(proxies))
+    world.run(3_000, 0.7)
+    world.join(12)
+    world.run(500, 0.7)
+    for me in range(0, proxies, 2):
+        world.start(me)
+    world.run(3_000, 0.9)
+    assert 0 < world.worst() <= 1
