Ask the kernel whether the client has left as an attempt goes out, first or further

Cause: a client's leaving was known only once the loop had come to the end of its connection, or at a look each 0.1 s while that is not read: an attempt could begin more than 0.1 s after the close. A connection to a backend that came up late was written on in the same way.

Change: one look (a poll) as the engine sends, and one as a new connection to a backend comes up, before the first byte. Who has left is told to the module there, and the attempt ends as not sent.

Seen: the new tests, in which the loop has not read a close, a half-close or a reset, failed in all nine forms before (the request was written).

--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -31,8 +31,9 @@
         limit_ms: float,
         done: Callable[[Attempt, Result, Response | None], None],
         within_ms: float = inf,
+        gone: Callable[[], bool] = lambda: False,  # looks whether the client has left by now
     ) -> None:
-        self.uid, self.head, self.body, self.done = uid, head, body, done
+        self.uid, self.head, self.body, self.done, self.gone = uid, head, body, done, gone
         self.started = now_ms()
         self.deadline = self.started + limit_ms
         self.write_by = self.started + within_ms
@@ -83,8 +84,10 @@
         self.idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
         self.backend.connecting.discard(self)
+        if self.attempt is not None:
+            self.pool.end_if_late(self.attempt)
+        super().connection_made(transport)
         if self.attempt is not None:
             self.carry(self.attempt)
         else:
@@ -228,6 +231,12 @@
         if attempt.connection is not None and attempt.connection.never_ran():
             self._give_up(attempt, Result.NOT_SENT)
 
+    def end_if_late(self, attempt: Attempt) -> None:
+        """It has waited for its connection, and that for its turn of the loop, which may not have come yet to
+        the end of its client's."""
+        if attempt.gone():
+            self._give_up(attempt, Result.NOT_SENT)
+
     def _time(self, attempt: Attempt, until: float) -> None:
         seconds = max(until - now_ms(), 0.0) / 1000
         attempt.timer = self.loop.call_later(seconds, self._limit, attempt)
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -90,6 +90,7 @@
     head: bytes  # request line and headers for the backend, without the empty line at the end
     body: bytes
     answer: Callable[[Answer], None]
+    gone: Callable[[], bool]  # looks whether its client has left by now, and tells the engine
 
 
 class Held:
@@ -290,9 +291,11 @@
             action.limit_ms,
             lambda ended, result, response: self._on_attempt(held, number, ended, result, response),
             action.within_ms,
+            taken.gone,
         )
         held.attempts.append(attempt)
-        if held.over or number >= self.settings.most_attempts:
+        # That the client has left may wait for its turn of the loop, or lie behind what isn't read for now.
+        if held.over or number >= self.settings.most_attempts or taken.gone():
             attempt.end(Result.NOT_SENT)
         else:
             self.backends.start(attempt)
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -84,6 +84,14 @@
             self.frontend.engine.client_gone(self.request_id)
             self.request_id = None
 
+    def gone(self) -> bool:
+        """Asks the kernel whether the client has left: the loop tells late, or never while it is paused."""
+        if not hung_up(self.transport):
+            return False
+        self._leave()
+        self.transport.close()
+        return True
+
     def data_received(self, data: bytes) -> None:
         if self.closing:
             self.dropped += len(data)
@@ -209,16 +217,14 @@
 
     def _take(self, message: Message) -> None:
         frontend = self.frontend
-        if hung_up(self.transport):  # it has waited behind others or in the kernel, and its client has left
-            self._leave()
-            self.transport.close()
+        if self.gone():  # it has waited behind others or in the kernel, and its client has left
             return
         if message.target.split(b"?", 1)[0] == READY_PATH:
             if message.method != b"GET":
                 raise Bad(405)
             self.write(Answer(200 if frontend.ready() else 503))
             return
-        taken = frontend.reader.read(message, self.answer)
+        taken = frontend.reader.read(message, self.answer, self.gone)
         if not frontend.engine.take(taken):
             raise Bad(400)
         self.request_id = taken.id
--- a/flintlatch/net/request.py
+++ b/flintlatch/net/request.py
@@ -65,7 +65,7 @@
     def __init__(self, settings: Settings, wire: Wire) -> None:
         self.settings, self.wire = settings, wire
 
-    def read(self, message: Message, answer: Callable[[Answer], None]) -> Taken:
+    def read(self, message: Message, answer: Callable[[Answer], None], gone: Callable[[], bool]) -> Taken:
         headers = dict(message.headers)
         names = [name for name, _ in message.headers if name in SINGLE]
         if len(names) != len(set(names)) or b"host" not in headers or not TARGET.fullmatch(message.target):
@@ -103,6 +103,7 @@
             b"".join(lines),
             message.body,
             answer,
+            gone,
         )
 
     def _tenant(self, name: bytes | None) -> int:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -33,7 +34,7 @@
 from flintlatch.net import frontend as frontend_module
 from flintlatch.net.clock import now_ms
 from flintlatch.net.http1 import hung_up
-from tests.loopback import Client, Gate, proxy, request, run
+from tests.loopback import Client, Gate, Proxy, proxy, request, run
 
 Step = Callable[[list[Any]], list[Action]]
 
@@ -337,6 +338,75 @@
     run(test())
 
 
+async def leave_unseen(p: Proxy, client: Client, how: str) -> None:
+    """The client leaves, and the loop is not told: as if it had been too busy to come to it since."""
+    (inside,) = p.frontend.clients
+    inside.transport.pause_reading()
+    if how == "half-close":
+        client.writer.write_eof()
+    else:
+        if how == "reset":
+            linger = struct.pack("ii", 1, 0)
+            client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        client.writer.transport.abort()
+    await until(lambda: hung_up(inside.transport))
+    assert not events(ClientGone)
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+@pytest.mark.parametrize("further", [False, True])
+def test_nothing_is_sent_for_a_client_that_left_while_the_loop_was_busy(
+    script: type[Script], how: str, further: bool
+) -> None:
+    """Nor sent again: an attempt that begins 0.1 s after the close is a break, however late the loop is."""
+
+    def act(batch: list[Any]) -> list[Action]:
+        kinds = (TimerFired, Arrival) if further else TimerFired
+        return [Send("c1", "s0", 9000.0) for e in batch if isinstance(e, kinds)]
+
+    script.act = staticmethod(act)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            await until(lambda: events(Arrival))
+            if further:
+                (await p.backends[0].calls.get()).reply(status=500)
+                await until(lambda: events(Outcome))
+            await leave_unseen(p, client, how)
+            p.engine._on_timer(7, p.engine.life)
+            await until(lambda: len(events(Outcome)) == 1 + further)
+            assert events(Outcome)[-1][:3] == ("c1", int(further), Result.NOT_SENT)
+            await until(lambda: events(ClientGone) and not p.engine.requests and not p.frontend.clients)
+            assert events(ClientGone) == [ClientGone("c1")] and p.backends[0].calls.empty()
+            assert p.backends[0].connections == int(further)
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+def test_a_connection_that_comes_up_for_a_client_that_left_unseen_carries_nothing(
+    script: type[Script], how: str
+) -> None:
+    script.act = each(Arrival, lambda e: [Send(e.request, "s0", 9000.0)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            gate = Gate.of(p.engine.backends)
+            client = await p.client()
+            client.send()
+            comes_up = await gate.knocks.get()
+            await leave_unseen(p, client, how)
+            comes_up.set()
+            await until(lambda: events(Outcome))
+            assert [e[:3] for e in events(Outcome)] == [("c1", 0, Result.NOT_SENT)]
+            await until(lambda: not p.engine.requests and not p.engine.backends.connections)
+            assert events(ClientGone) == [ClientGone("c1")] and p.backends[0].calls.empty()
+
+    run(test())
+
+
 def test_timers_watches_and_probes_are_carried_out(script: type[Script]) -> None:
     script.act = each(
         ServerList, lambda e: [SetTimer(1.0, 42), Probe("s0"), Watch()] * (e.kind is ListKind.SAVED)
