Write nothing on a new connection once the time for it is over, also if the loop comes late

Cause: only a timer kept a repeat within its window and an attempt within its time. In a busy turn of the loop the connection to the backend may come up before that timer has had its turn, and the request was written then.

Change: the time is looked at as the connection comes up, before the first byte.

Seen: both forms of the new test (window of a repeat, time of an attempt) failed without it, the request was written.

--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -233,8 +233,10 @@
 
     def end_if_late(self, attempt: Attempt) -> None:
         """It has waited for its connection, and that for its turn of the loop, which may not have come yet to
-        the end of its client's."""
-        if attempt.gone():
+        its timer or to the end of its client's connection."""
+        if now_ms() >= min(attempt.deadline, attempt.write_by):
+            self._limit(attempt)
+        elif attempt.gone():
             self._give_up(attempt, Result.NOT_SENT)
 
     def _time(self, attempt: Attempt, until: float) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -405,6 +405,27 @@
     run(test())
 
 
+@pytest.mark.parametrize("until", ["write_by", "deadline"])
+def test_a_connection_that_comes_up_late_on_a_busy_loop_carries_nothing(until: str) -> None:
+    """Its time is over, and the loop has not come to the timer that would have told so."""
+
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            gate = Gate.of(attempts.pool)
+            attempt = attempts.start(within_ms=20000.0)
+            comes_up = await gate.knocks.get()
+            setattr(attempt, until, now_ms() - 1.0)
+            comes_up.set()
+            assert await attempts.result() is Result.CONNECT_FAILED
+            attempts.start()
+            (await gate.knocks.get()).set()
+            (await peer.calls.get()).reply()
+            assert await attempts.result() is Result.OK
+            assert peer.calls.empty() and len(attempts.pool.connections) == 1
+
+    run(test())
+
+
 def test_what_was_written_by_then_has_its_time_for_the_answer() -> None:
     async def test() -> None:
         async with tries() as (attempts, peer):
