Count the times of an attempt from the start of the step that sends it

Cause: the module says how much is left of a repeat's window and of the client's time as its step begins; the attempt counted both from the moment at which it was carried out. A long step, or many sends in one, moved them by that much, and on a kept connection nothing looked at them before the write.

Change: what the step has taken is taken off, and what has no time left is not written and never ran.

Seen: the new test failed in all six forms without it (written after the window, after the time, and telling the backend more than was left), on kept connections and on new ones.

--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -41,6 +41,10 @@
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
 
+    def over(self) -> bool:
+        """Too late to write it."""
+        return now_ms() >= min(self.deadline, self.write_by)
+
     def end(self, result: Result, response: Response | None = None) -> None:
         if self.ended:
             return
@@ -176,7 +180,7 @@
 
     def start(self, attempt: Attempt) -> None:
         backend = self.backends.get(attempt.uid)
-        if backend is None or not backend.active():
+        if backend is None or not backend.active() or attempt.over():
             attempt.end(Result.CONNECT_FAILED)
             return
         self._time(attempt, min(attempt.deadline, attempt.write_by))
@@ -234,7 +238,7 @@
     def end_if_late(self, attempt: Attempt) -> None:
         """It has waited for its connection, and that for its turn of the loop, which may not have come yet to
         its timer or to the end of its client's connection."""
-        if now_ms() >= min(attempt.deadline, attempt.write_by):
+        if attempt.over():
             self._limit(attempt)
         elif attempt.gone():
             self._give_up(attempt, Result.NOT_SENT)
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -118,6 +118,7 @@
         self.events: list[Event] = []
         self.ended: list[Held] = []  # to be forgotten once the module has been told of their end
         self.turn: asyncio.Handle | None = None
+        self.stepped = 0.0  # when the module was last asked: the times of its actions count from then
         self.life = 0  # of the module; a new one starts after it broke
         self.loop = asyncio.get_running_loop()
 
@@ -219,7 +220,8 @@
         self.news, self.events = [], []
         ended, self.ended = self.ended, []
         try:
-            actions = self.balancer.step(now_ms(), batch)
+            self.stepped = now_ms()
+            actions = self.balancer.step(self.stepped, batch)
         except Exception:
             self._module_broke()
             return
@@ -283,14 +285,14 @@
         held = self.requests.get(action.request)
         if held is None:
             return
-        number, taken = len(held.attempts), held.taken
+        number, taken, spent = len(held.attempts), held.taken, now_ms() - self.stepped
         attempt = Attempt(
             action.server,
             taken.head,
             taken.body,
-            action.limit_ms,
+            action.limit_ms - spent,
             lambda ended, result, response: self._on_attempt(held, number, ended, result, response),
-            action.within_ms,
+            action.within_ms - spent,
             taken.gone,
         )
         held.attempts.append(attempt)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -407,6 +407,47 @@
     run(test())
 
 
+@pytest.mark.parametrize("pooled", [False, True])
+@pytest.mark.parametrize("over", ["within", "limit", "neither"])
+def test_the_time_that_a_step_took_counts_against_the_times_of_its_sends(
+    script: type[Script], over: str, pooled: bool
+) -> None:
+    """The module counts from the start of its step; a long one, or many sends in it, may outlast a window."""
+    limit, within = 500_000.0 if over == "limit" else 9e6, 500_000.0 if over == "within" else 8e6
+
+    def act(batch: list[Any]) -> list[Action]:
+        arrivals = [e.request for e in batch if isinstance(e, Arrival)]
+        if "late" in arrivals:  # as if this step had begun so long ago
+            engines[0].stepped = now_ms() - 1_000_000.0
+            return [Send("late", "s0", limit, within)]
+        return [Send(request, "s0", 9000.0) for request in arrivals]
+
+    engines: list[Any] = []
+    script.act = staticmethod(act)
+
+    async def test() -> None:
+        async with proxy() as p:
+            engines.append(p.engine)
+            client = await p.client()
+            if pooled:
+                client.send(x_call_id="first")
+                (await p.backends[0].calls.get()).reply()
+                assert (await client.reply()).status == 200
+                p.engine.backends.backends["s0"].idle[0].idle_since -= 1000.0  # it may be lent again
+            client.send(x_call_id="late")
+            if over == "neither":
+                call = await p.backends[0].calls.get()
+                assert int(call.headers["x-budget-ms"]) <= 8_000_000
+                call.reply()
+                assert (await client.reply()).status == 200
+                return
+            await until(lambda: len(events(Outcome)) == 1 + pooled)
+            assert events(Outcome)[-1][:3] == ("late", 0, Result.CONNECT_FAILED)
+            assert p.backends[0].calls.empty() and p.backends[0].connections == int(pooled)
+
+    run(test())
+
+
 def test_timers_watches_and_probes_are_carried_out(script: type[Script]) -> None:
     script.act = each(
         ServerList, lambda e: [SetTimer(1.0, 42), Probe("s0"), Watch()] * (e.kind is ListKind.SAVED)
