Look at all connections that are not read by one question, and twice as often

Cause: 0.1 s between the looks plus a turn of the loop is more than 0.1 s; and each connection was asked for by itself.

Change: one poll over all of them, each 0.05 s. Nothing is sent too late for it any more (see the look as an attempt goes out); an attempt that is out, and a place, are given up sooner.

Seen: the new test failed without it (300 polls for 300 connections).

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -12,7 +12,7 @@
 
 from flintlatch.net.clock import now_ms
 from flintlatch.net.engine import Answer, Engine, log
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, hung_up, split_address, unread
+from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, all_hung_up, hung_up, split_address, unread
 from flintlatch.net.request import Bad, Message, Reader, check_framing
 
 BACKLOG = 512
@@ -23,9 +23,9 @@
 BAD_IN_A_ROW = 8  # refused requests after which a connection closes: one that only errs must come anew
 WHOLE_S = 2.0  # s from connecting, or from its first byte, in which a request must be here whole: 3 are owed
 SWEEP_S = 0.25  # s between looks at what is late
-# s between looks at connections that are not read for now: their end is not told, and 0.3 s after its client
-# left a request must not be sent any more.
-PAUSED_LOOK_S = 0.1
+# s between looks at connections that are not read for now: their end is not told, and who has left must not
+# hold a place or a backend. That nothing is sent for it is looked at as it goes out.
+PAUSED_LOOK_S = 0.05
 IDLE_S = 30.0  # s that a kept connection may idle while there are places to spare
 IDLE_FULL_S = 2.0  # s, while over half of the places are taken
 SPARE_MS = 250.0  # ms in which a new connection is spared at the cap: its first request is on the way
@@ -419,11 +419,10 @@
 
     def _look_at_paused(self) -> None:
         self.looker = None
-        for client in list(self.paused):
-            if hung_up(client.transport):
-                client.transport.abort()
-            else:
-                self.watch_paused(client)
+        for transport in all_hung_up(client.transport for client in self.paused):
+            transport.abort()
+        if self.paused:
+            self.looker = self.loop.call_later(PAUSED_LOOK_S, self._look_at_paused)
 
     @staticmethod
     def _over(places: dict[Client, float], limit_s: float) -> list[Client]:
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+from collections.abc import Iterable
 from typing import NamedTuple, cast
 
 import httptools
@@ -37,6 +38,18 @@
     return transport.is_closing() or _polled(transport, select.POLLRDHUP)
 
 
+def all_hung_up(transports: Iterable[asyncio.Transport]) -> list[asyncio.Transport]:
+    """Those of them whose other side has closed or reset them, by one question to the kernel."""
+    poll = select.poll()
+    by_fileno = {}
+    for transport in transports:
+        if not transport.is_closing():  # else its descriptor may be another's by now
+            fileno = transport.get_extra_info("socket").fileno()
+            by_fileno[fileno] = transport
+            poll.register(fileno, select.POLLRDHUP)
+    return [by_fileno[fileno] for fileno, _ in poll.poll(0)]
+
+
 def _polled(transport: asyncio.Transport, events: int) -> bool:
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), events)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -238,6 +239,38 @@
     run(test())
 
 
+def test_hundreds_of_connections_that_are_not_read_cost_one_question(
+    script: type[Script], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(frontend_module, "PAUSED_LOOK_S", 1000.0)  # the test gives the word
+    polls, poll = [], select.poll
+
+    def counted() -> Any:
+        polls.append(poll())
+        return polls[-1]
+
+    async def test() -> None:
+        async with proxy() as p:
+            clients = [await p.client() for _ in range(300)]
+            for number, client in enumerate(clients):
+                sent_ahead(client, f"{number}-1", f"{number}-2", f"{number}-3")
+            await until(lambda: len(p.frontend.paused) == len(clients))
+            for client in clients[::3]:
+                client.writer.transport.abort()
+            inside = list(p.frontend.paused)
+            await until(lambda: sum(hung_up(one.transport) for one in inside) == 100)
+            with monkeypatch.context() as patch:
+                patch.setattr(select, "poll", counted)
+                p.frontend._look_at_paused()
+            assert len(polls) == 1
+            await until(lambda: len(p.frontend.clients) == 200)
+            assert {e.request for e in events(ClientGone)} == {f"{n}-1" for n in range(0, 300, 3)}
+            assert len(p.frontend.paused) == 200 and p.frontend.looker is not None
+            p.frontend.looker.cancel()
+
+    run(test())
+
+
 def test_what_waited_behind_another_is_not_taken_once_its_client_has_left(
     script: type[Script], monkeypatch: pytest.MonkeyPatch
 ) -> None:
