Leave a slow reader the time to read its last answer whole

Cause: a second after the shutdown that follows a last answer the connection was aborted, and at the cap of connections after 0.25 s, with what the kernel had not taken of that answer yet: a client that reads slowly got part of it, which is a lost request.

Change: while a part of the answer still waits here neither ends the connection, for 5 s at most.

Seen: both forms of the new test failed without it (most of 64 KiB was missing); that a client that never reads loses its place failed with the bound taken out.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -30,6 +30,7 @@
 IDLE_FULL_S = 2.0  # s, while over half of the places are taken
 SPARE_MS = 250.0  # ms in which a new connection is spared at the cap: its first request is on the way
 LINGER_S = 1.0  # s that a closed connection may go on sending before it is cut off
+READ_S = 5.0  # s that it has for reading what is left of its last answer here: no client waits for longer
 LINGER_BYTES = 1024 * 1024  # bytes that are read and dropped in that time: the answer is long out by then
 RETRY_ACCEPT_S = 0.05  # s until the next try when there was no descriptor to give
 DRAIN_ACCEPT_S = 0.005  # s between looks at the kernel's queue before it goes: those accepted are served, too
@@ -257,6 +258,11 @@
         elif self.transport.get_write_buffer_size() > UNREAD_ANSWERS:
             self.transport.abort()
 
+    def reads(self) -> bool:
+        """A part of its last answer still waits here for a client that reads slowly."""
+        late = now_ms() - self.frontend.ending[self] > READ_S * 1000
+        return not late and self.transport.get_write_buffer_size() > 0
+
     def _asked_ahead(self) -> bool:
         return bool(self.queue or self.rest) or unread(self.transport)
 
@@ -382,7 +388,7 @@
             # What the kernel holds already is a request that was sent in time.
             if client is None or places[client] > now - spared_ms:
                 continue
-            if places is self.ending or not unread(client.transport):
+            if not (client.reads() if places is self.ending else unread(client.transport)):
                 return client
         return None
 
@@ -405,7 +411,8 @@
         for client in self._over(self.waiting, WHOLE_S):
             client.late()
         for client in self._over(self.ending, LINGER_S):
-            client.transport.abort()
+            if not client.reads():
+                client.transport.abort()
         for client in self._over(self.idle, IDLE_FULL_S if self.held > self.most / 2 else IDLE_S):
             if not unread(client.transport):
                 client.transport.close()
