Read what has come before a connection is closed after its last answer

Cause: a second after the shutdown the connection was aborted also over bytes that had just come and were not read. The kernel answers such a close by a reset and drops what it has yet to send: a slow reader lost the rest of its answer. The same at the cap, where such a connection makes room first.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -259,9 +259,11 @@
             self.transport.abort()
 
     def reads(self) -> bool:
-        """A part of its last answer still waits here for a client that reads slowly."""
-        late = now_ms() - self.frontend.ending[self] > READ_S * 1000
-        return not late and self.transport.get_write_buffer_size() > 0
+        """A part of its last answer still waits here for a client that reads slowly; or bytes of its own have
+        just come, and a close over them would reset the connection with what the kernel has yet to send."""
+        if now_ms() - self.frontend.ending[self] > READ_S * 1000:
+            return False
+        return self.transport.get_write_buffer_size() > 0 or unread(self.transport)
 
     def _asked_ahead(self) -> bool:
         return bool(self.queue or self.rest) or unread(self.transport)
