--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -236,7 +236,7 @@
     run(test())
 
 
-@pytest.mark.parametrize("more", [OK + b"content-length: 4\r\n\r\ncopy", b"\x00noise"])
+@pytest.mark.parametrize("more", [OK + b"content-length: 4\r\n\r\ncopy", b"\x00noise", b"HTTP/1.1 2"])
 def test_what_comes_right_behind_an_answer_never_meets_the_next_request(more: bytes) -> None:
     # The answer and what follows may come in two reads; lent out between them, the connection would serve
     # the next request with the copy. The loop is kept from reading: only the kernel has what follows.
@@ -518,7 +518,9 @@
     run(test())
 
 
-@pytest.mark.parametrize("unasked", [b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate", b"x"])
+@pytest.mark.parametrize(
+    "unasked", [b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate", b"x", b"HTTP/1.1 2"]
+)
 def test_unasked_bytes_end_an_idle_connection(unasked: bytes) -> None:
     async def test() -> None:
         async with tries() as (attempts, peer):
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 
 import pytest
 
 from flintlatch.net import frontend as frontend_module
-from flintlatch.net.http1 import unread
-from tests.loopback import Client, Proxy, proxy, run
+from flintlatch.net.http1 import hung_up, unread
+from tests.loopback import PURCHASE, Call, Client, Proxy, proxy, request, run
 
 
 async def until(true: Callable[[], object]) -> None:
@@ -18,6 +19,22 @@
         await asyncio.sleep(0.001)
 
 
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+async def next_call(p: Proxy) -> Call:
+    """The next request that any backend reads."""
+    await until(lambda: any(not peer.calls.empty() for peer in p.backends))
+    return next(peer.calls.get_nowait() for peer in p.backends if not peer.calls.empty())
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes it so that the other side gets a reset and no end."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def test_what_comes_after_the_shutdown_is_not_sent_on_and_takes_no_answer_with_it() -> None:
     async def test() -> None:
         async with proxy() as p:
@@ -159,3 +176,138 @@
             await until(lambda: not p.frontend.clients)
 
     run(test())
+
+
+# Floods
+
+
+def test_hundreds_of_connections_at_once_are_each_served_once() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            flood = await asyncio.gather(*(p.client() for _ in range(300)))
+            for number, client in enumerate(flood):
+                client.send(x_call_id=f"f{number}")
+            for _ in flood:
+                call = await p.backends[0].calls.get()
+                call.reply(call.headers["x-call-id"].encode())
+            for number, client in enumerate(flood):
+                assert (await client.reply()).body == b"f%d" % number
+            assert p.backends[0].calls.empty()
+
+    run(test())
+
+
+def test_hundreds_of_requests_at_once_on_one_connection_keep_nobody_else_from_service() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            flood, other = await p.client(), await p.client()
+            flood.writer.write(b"".join(request(x_call_id=f"f{number}") for number in range(300)))
+            calls = [await p.backends[0].calls.get()]
+            other.send(x_call_id="other")
+            calls.append(await p.backends[0].calls.get())
+            assert [call.headers["x-call-id"] for call in calls] == ["f0", "other"]
+            assert list(p.engine.requests) == ["f0", "other"]  # one of a connection at a time
+            for call in calls:
+                call.reply(call.headers["x-call-id"].encode())
+            assert (await other.reply()).body == b"other"
+            assert (await flood.reply()).body == b"f0"
+            for number in range(1, 300):
+                call = await p.backends[0].calls.get()
+                assert call.headers["x-call-id"] == f"f{number}"
+                call.reply(b"%d" % number)
+                assert (await flood.reply()).body == b"%d" % number
+
+    run(test())
+
+
+# Answers that break off
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+@pytest.mark.parametrize(
+    "sent",
+    [
+        OK + b"content-length: 9\r\n\r\nhalf",
+        OK + b"transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        OK + b"transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+        OK + b"connection: close\r\n\r\nto the end",
+        b"HTTP/1.0 200 OK\r\n\r\nto the end",
+        OK + b"content-le",
+        b"HTTP/1.1 2",
+    ],
+)
+def test_an_answer_that_breaks_off_is_no_answer(sent: bytes, how: str) -> None:
+    """A reset is no end, also of an answer without a length; and what may have run is not sent again."""
+
+    async def test() -> None:
+        async with proxy(backends=2) as p:
+            client = await p.client()
+            client.send()
+            call = await next_call(p)
+            (connection,) = p.engine.backends.connections
+            transport = connection.transport
+            assert transport is not None
+            transport.pause_reading()  # both come while the loop is busy: the answer and how it ends
+            call.writer.write(sent)
+            await until(lambda: unread(transport))
+            reset(call.writer) if how == "reset" else call.writer.close()
+            await until(lambda: hung_up(transport))
+            transport.resume_reading()
+            reply = await client.reply()
+            assert (reply.status, reply.body) == (504, b"")
+            assert all(peer.calls.empty() for peer in p.backends)
+
+    run(test())
+
+
+# Very slow connections
+
+
+def test_a_request_and_its_answer_may_come_a_byte_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend_module, "WHOLE_S", 1000.0)  # however slow this machine is
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            await until(lambda: p.frontend.clients)
+            (inside,) = p.frontend.clients
+            sent = request(body=b"by and by")
+            for place in range(len(sent) - 1):
+                client.writer.write(sent[place : place + 1])
+                await until(lambda place=place: inside._size == place + 1)  # type: ignore[misc]
+            assert p.backends[0].connections == 0
+            client.writer.write(sent[-1:])
+            call = await p.backends[0].calls.get()
+            assert call.body == b"by and by"
+            answer = b"HTTP/1.1 103 Hints\r\nlink: </a>\r\n\r\n"
+            answer += OK + b"transfer-encoding: chunked\r\n\r\n4\r\nslow\r\n3;x=y\r\nly.\r\n0\r\nt: u\r\n\r\n"
+            (connection,) = p.engine.backends.connections
+            for byte in answer:
+                assert connection.waiting and client.reader._buffer == b""  # type: ignore[attr-defined]
+                size = connection._size
+                call.writer.write(bytes([byte]))
+                await until(lambda size=size: connection._size != size)  # type: ignore[misc]
+            reply = await client.reply()
+            assert (reply.status, reply.body) == (200, b"slowly.")
+
+    run(test())
+
+
+# Repeats of a keyed request after its window
+
+
+@pytest.mark.parametrize(("window_ms", "repeated"), [(1e6, True), (1.0, False)])
+def test_a_keyed_request_is_sent_again_within_its_window_alone(window_ms: float, repeated: bool) -> None:
+    async def test() -> None:
+        async with proxy(backends=2, settings={"Lanes": [PURCHASE | {"KeyTtlMs": window_ms}]}) as p:
+            client = await p.client()
+            client.send("/purchase", idempotency_key="k1")
+            (await next_call(p)).reply(status=500)
+            if repeated:
+                (await next_call(p)).reply(b"again")
+                assert (await client.reply()).body == b"again"
+            else:
+                assert (await client.reply()).status == 504
+                assert all(peer.calls.empty() for peer in p.backends)
+
+    run(test())
