Cut off who doesn't read the rest of an answer after the connection was closed

Cause: the transport of a closed connection goes only when all that waits to be written is out.

Seen: all three forms of the new test waited for ever without it.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -69,8 +69,8 @@
         self.frontend.put(self, self.frontend.waiting)
 
     def eof_received(self) -> None:
-        # The transport closes now, but is lost only when all that waits to be written is out.
         self._leave()
+        self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._leave()
@@ -90,9 +90,14 @@
         if not hung_up(self.transport):
             return False
         self._leave()
-        self.transport.close()
+        self.close()
         return True
 
+    def close(self) -> None:
+        """The transport closes once all that waits to be written is out; who never reads it is cut off."""
+        self.frontend.put(self, self.frontend.ending)
+        self.transport.close()
+
     def data_received(self, data: bytes) -> None:
         if self.closing:
             self.dropped += len(data)
@@ -156,7 +161,7 @@
             self._bad(408)
             self._go_on()
         elif not unread(self.transport):  # else it has just been asked
-            self.transport.close()
+            self.close()
 
     # httptools calls these
 
@@ -360,8 +365,11 @@
                 self._accept_later()
                 return False
             if victim is not None:  # only now that somebody needs its place
-                self.put(victim, None)
-                victim.transport.abort() if victim.closing else victim.transport.close()
+                if victim.places is self.ending:
+                    self.put(victim, None)
+                    victim.transport.abort()
+                else:
+                    victim.close()
             self.held += 1
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
             self.opening.add(cast("asyncio.Task[object]", task))
@@ -417,7 +425,7 @@
                 client.transport.abort()
         for client in self._over(self.idle, IDLE_FULL_S if self.held > self.most / 2 else IDLE_S):
             if not unread(client.transport):
-                client.transport.close()
+                client.close()
         if self.sock is None:
             self._close_unasked()
 
@@ -472,7 +480,7 @@
         silent = [client for client in self._over(self.waiting, SPARE_MS / 1000) if not client.begun]
         for client in [*self.idle, *silent]:
             if not unread(client.transport):  # else it has just been asked, and answers first
-                client.transport.close()
+                client.close()
 
     async def _emptied(self, within_s: float) -> bool:
         if self.held:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -97,9 +97,10 @@
     run(test())
 
 
-async def slow_reader(p: Proxy, sends: int = 4096) -> Client:
+async def slow_reader(p: Proxy, sends: int = 4096, stops: bool = True) -> Client:
     """It has its last answer, and most of that still waits here, unless the kernel takes so much to send."""
-    p.frontend.stop_keeping()
+    if stops:
+        p.frontend.stop_keeping()
     host, port = p.frontend.address.split(":")
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -110,7 +111,7 @@
     inside.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, sends)
     client.send()
     (await p.backends[0].calls.get()).reply(b"r" * 65536)
-    await until(lambda: p.frontend.ending)
+    await until(lambda: p.frontend.ending if stops else p.frontend.idle)
     assert sends > 4096 or inside.transport.get_write_buffer_size()
     return client
 
@@ -135,6 +136,36 @@
     run(test())
 
 
+@pytest.mark.parametrize("how", ["idle", "full", "half-close"])
+def test_who_never_reads_does_not_hold_a_place_after_the_close(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The connection is closed only when all that waits to be written is out, and nobody reads it."""
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await slow_reader(p, stops=False)
+            (inside,) = p.frontend.idle
+            if how == "idle":
+                monkeypatch.setattr(frontend_module, "IDLE_S", -1.0)
+                p.frontend._sweep()
+            elif how == "full":
+                monkeypatch.setattr(frontend_module, "IDLE_FULL_S", -1.0)
+                p.frontend.most = 1
+                other = await p.client()
+                assert (await other.ask("/health/ready", "GET")).status == 200
+            else:
+                client.writer.write_eof()
+            await until(lambda: inside.transport.is_closing())
+            assert inside in p.frontend.clients
+            monkeypatch.setattr(frontend_module, "LINGER_S", -1.0)
+            monkeypatch.setattr(frontend_module, "READ_S", -1.0)
+            p.frontend._sweep()
+            await until(lambda: inside not in p.frontend.clients)
+
+    run(test())
+
+
 @pytest.mark.parametrize("at", ["sweep", "cap"])
 def test_bytes_that_come_as_a_connection_is_closed_take_no_answer_with_them(
     at: str, monkeypatch: pytest.MonkeyPatch
