--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -31,8 +31,9 @@
         limit_ms: float,
         done: Callable[[Attempt, Result, Response | None], None],
         within_ms: float = inf,
+        gone: Callable[[], bool] = lambda: False,  # looks whether the client has left by now
     ) -> None:
-        self.uid, self.head, self.body, self.done = uid, head, body, done
+        self.uid, self.head, self.body, self.done, self.gone = uid, head, body, done, gone
         self.started = now_ms()
         self.deadline = self.started + limit_ms
         self.write_by = self.started + within_ms
@@ -40,6 +41,10 @@
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
 
+    def over(self) -> bool:
+        """Too late to write it."""
+        return now_ms() >= min(self.deadline, self.write_by)
+
     def end(self, result: Result, response: Response | None = None) -> None:
         if self.ended:
             return
@@ -83,8 +88,10 @@
         self.idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
         self.backend.connecting.discard(self)
+        if self.attempt is not None:
+            self.pool.end_if_late(self.attempt)
+        super().connection_made(transport)
         if self.attempt is not None:
             self.carry(self.attempt)
         else:
@@ -173,7 +180,7 @@
 
     def start(self, attempt: Attempt) -> None:
         backend = self.backends.get(attempt.uid)
-        if backend is None or not backend.active():
+        if backend is None or not backend.active() or attempt.over():
             attempt.end(Result.CONNECT_FAILED)
             return
         self._time(attempt, min(attempt.deadline, attempt.write_by))
@@ -228,6 +235,14 @@
         if attempt.connection is not None and attempt.connection.never_ran():
             self._give_up(attempt, Result.NOT_SENT)
 
+    def end_if_late(self, attempt: Attempt) -> None:
+        """It has waited for its connection, and that for its turn of the loop, which may not have come yet to
+        its timer or to the end of its client's connection."""
+        if attempt.over():
+            self._limit(attempt)
+        elif attempt.gone():
+            self._give_up(attempt, Result.NOT_SENT)
+
     def _time(self, attempt: Attempt, until: float) -> None:
         seconds = max(until - now_ms(), 0.0) / 1000
         attempt.timer = self.loop.call_later(seconds, self._limit, attempt)
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -90,6 +90,7 @@
     head: bytes  # request line and headers for the backend, without the empty line at the end
     body: bytes
     answer: Callable[[Answer], None]
+    gone: Callable[[], bool]  # looks whether its client has left by now, and tells the engine
 
 
 class Held:
@@ -117,6 +118,7 @@
         self.events: list[Event] = []
         self.ended: list[Held] = []  # to be forgotten once the module has been told of their end
         self.turn: asyncio.Handle | None = None
+        self.stepped = 0.0  # when the module was last asked: the times of its actions count from then
         self.life = 0  # of the module; a new one starts after it broke
         self.loop = asyncio.get_running_loop()
 
@@ -218,7 +220,8 @@
         self.news, self.events = [], []
         ended, self.ended = self.ended, []
         try:
-            actions = self.balancer.step(now_ms(), batch)
+            self.stepped = now_ms()
+            actions = self.balancer.step(self.stepped, batch)
         except Exception:
             self._module_broke()
             return
@@ -282,17 +285,19 @@
         held = self.requests.get(action.request)
         if held is None:
             return
-        number, taken = len(held.attempts), held.taken
+        number, taken, spent = len(held.attempts), held.taken, now_ms() - self.stepped
         attempt = Attempt(
             action.server,
             taken.head,
             taken.body,
-            action.limit_ms,
+            action.limit_ms - spent,
             lambda ended, result, response: self._on_attempt(held, number, ended, result, response),
-            action.within_ms,
+            action.within_ms - spent,
+            taken.gone,
         )
         held.attempts.append(attempt)
-        if held.over or number >= self.settings.most_attempts:
+        # That the client has left may wait for its turn of the loop, or lie behind what isn't read for now.
+        if held.over or number >= self.settings.most_attempts or taken.gone():
             attempt.end(Result.NOT_SENT)
         else:
             self.backends.start(attempt)
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -12,7 +12,7 @@
 
 from flintlatch.net.clock import now_ms
 from flintlatch.net.engine import Answer, Engine, log
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, hung_up, split_address, unread
+from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, all_hung_up, hung_up, split_address, unread
 from flintlatch.net.request import Bad, Message, Reader, check_framing
 
 BACKLOG = 512
@@ -23,13 +23,14 @@
 BAD_IN_A_ROW = 8  # refused requests after which a connection closes: one that only errs must come anew
 WHOLE_S = 2.0  # s from connecting, or from its first byte, in which a request must be here whole: 3 are owed
 SWEEP_S = 0.25  # s between looks at what is late
-# s between looks at connections that are not read for now: their end is not told, and 0.3 s after its client
-# left a request must not be sent any more.
-PAUSED_LOOK_S = 0.1
+# s between looks at connections that are not read for now: their end is not told, and who has left must not
+# hold a place or a backend. That nothing is sent for it is looked at as it goes out.
+PAUSED_LOOK_S = 0.05
 IDLE_S = 30.0  # s that a kept connection may idle while there are places to spare
 IDLE_FULL_S = 2.0  # s, while over half of the places are taken
 SPARE_MS = 250.0  # ms in which a new connection is spared at the cap: its first request is on the way
 LINGER_S = 1.0  # s that a closed connection may go on sending before it is cut off
+READ_S = 5.0  # s that it has for reading what is left of its last answer here: no client waits for longer
 LINGER_BYTES = 1024 * 1024  # bytes that are read and dropped in that time: the answer is long out by then
 RETRY_ACCEPT_S = 0.05  # s until the next try when there was no descriptor to give
 DRAIN_ACCEPT_S = 0.005  # s between looks at the kernel's queue before it goes: those accepted are served, too
@@ -68,8 +69,8 @@
         self.frontend.put(self, self.frontend.waiting)
 
     def eof_received(self) -> None:
-        # The transport closes now, but is lost only when all that waits to be written is out.
         self._leave()
+        self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._leave()
@@ -84,6 +85,19 @@
             self.frontend.engine.client_gone(self.request_id)
             self.request_id = None
 
+    def gone(self) -> bool:
+        """Asks the kernel whether the client has left: the loop tells late, or never while it is paused."""
+        if not hung_up(self.transport):
+            return False
+        self._leave()
+        self.close()
+        return True
+
+    def close(self) -> None:
+        """The transport closes once all that waits to be written is out; who never reads it is cut off."""
+        self.frontend.put(self, self.frontend.ending)
+        self.transport.close()
+
     def data_received(self, data: bytes) -> None:
         if self.closing:
             self.dropped += len(data)
@@ -147,7 +161,7 @@
             self._bad(408)
             self._go_on()
         elif not unread(self.transport):  # else it has just been asked
-            self.transport.close()
+            self.close()
 
     # httptools calls these
 
@@ -209,16 +223,14 @@
 
     def _take(self, message: Message) -> None:
         frontend = self.frontend
-        if hung_up(self.transport):  # it has waited behind others or in the kernel, and its client has left
-            self._leave()
-            self.transport.close()
+        if self.gone():  # it has waited behind others or in the kernel, and its client has left
             return
         if message.target.split(b"?", 1)[0] == READY_PATH:
             if message.method != b"GET":
                 raise Bad(405)
             self.write(Answer(200 if frontend.ready() else 503))
             return
-        taken = frontend.reader.read(message, self.answer)
+        taken = frontend.reader.read(message, self.answer, self.gone)
         if not frontend.engine.take(taken):
             raise Bad(400)
         self.request_id = taken.id
@@ -251,6 +263,13 @@
         elif self.transport.get_write_buffer_size() > UNREAD_ANSWERS:
             self.transport.abort()
 
+    def reads(self) -> bool:
+        """A part of its last answer still waits here for a client that reads slowly; or bytes of its own have
+        just come, and a close over them would reset the connection with what the kernel has yet to send."""
+        if now_ms() - self.frontend.ending[self] > READ_S * 1000:
+            return False
+        return self.transport.get_write_buffer_size() > 0 or unread(self.transport)
+
     def _asked_ahead(self) -> bool:
         return bool(self.queue or self.rest) or unread(self.transport)
 
@@ -346,8 +365,11 @@
                 self._accept_later()
                 return False
             if victim is not None:  # only now that somebody needs its place
-                self.put(victim, None)
-                victim.transport.abort() if victim.closing else victim.transport.close()
+                if victim.places is self.ending:
+                    self.put(victim, None)
+                    victim.transport.abort()
+                else:
+                    victim.close()
             self.held += 1
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
             self.opening.add(cast("asyncio.Task[object]", task))
@@ -376,7 +398,7 @@
             # What the kernel holds already is a request that was sent in time.
             if client is None or places[client] > now - spared_ms:
                 continue
-            if places is self.ending or not unread(client.transport):
+            if not (client.reads() if places is self.ending else unread(client.transport)):
                 return client
         return None
 
@@ -399,10 +421,11 @@
         for client in self._over(self.waiting, WHOLE_S):
             client.late()
         for client in self._over(self.ending, LINGER_S):
-            client.transport.abort()
+            if not client.reads():
+                client.transport.abort()
         for client in self._over(self.idle, IDLE_FULL_S if self.held > self.most / 2 else IDLE_S):
             if not unread(client.transport):
-                client.transport.close()
+                client.close()
         if self.sock is None:
             self._close_unasked()
 
@@ -413,11 +436,10 @@
 
     def _look_at_paused(self) -> None:
         self.looker = None
-        for client in list(self.paused):
-            if hung_up(client.transport):
-                client.transport.abort()
-            else:
-                self.watch_paused(client)
+        for transport in all_hung_up(client.transport for client in self.paused):
+            transport.abort()
+        if self.paused:
+            self.looker = self.loop.call_later(PAUSED_LOOK_S, self._look_at_paused)
 
     @staticmethod
     def _over(places: dict[Client, float], limit_s: float) -> list[Client]:
@@ -458,7 +480,7 @@
         silent = [client for client in self._over(self.waiting, SPARE_MS / 1000) if not client.begun]
         for client in [*self.idle, *silent]:
             if not unread(client.transport):  # else it has just been asked, and answers first
-                client.transport.close()
+                client.close()
 
     async def _emptied(self, within_s: float) -> bool:
         if self.held:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -33,7 +35,7 @@
 from flintlatch.net import frontend as frontend_module
 from flintlatch.net.clock import now_ms
 from flintlatch.net.http1 import hung_up
-from tests.loopback import Client, Gate, proxy, request, run
+from tests.loopback import Client, Gate, Proxy, proxy, request, run
 
 Step = Callable[[list[Any]], list[Action]]
 
@@ -237,6 +239,38 @@
     run(test())
 
 
+def test_hundreds_of_connections_that_are_not_read_cost_one_question(
+    script: type[Script], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(frontend_module, "PAUSED_LOOK_S", 1000.0)  # the test gives the word
+    polls, poll = [], select.poll
+
+    def counted() -> Any:
+        polls.append(poll())
+        return polls[-1]
+
+    async def test() -> None:
+        async with proxy() as p:
+            clients = [await p.client() for _ in range(300)]
+            for number, client in enumerate(clients):
+                sent_ahead(client, f"{number}-1", f"{number}-2", f"{number}-3")
+            await until(lambda: len(p.frontend.paused) == len(clients))
+            for client in clients[::3]:
+                client.writer.transport.abort()
+            inside = list(p.frontend.paused)
+            await until(lambda: sum(hung_up(one.transport) for one in inside) == 100)
+            with monkeypatch.context() as patch:
+                patch.setattr(select, "poll", counted)
+                p.frontend._look_at_paused()
+            assert len(polls) == 1
+            await until(lambda: len(p.frontend.clients) == 200)
+            assert {e.request for e in events(ClientGone)} == {f"{n}-1" for n in range(0, 300, 3)}
+            assert len(p.frontend.paused) == 200 and p.frontend.looker is not None
+            p.frontend.looker.cancel()
+
+    run(test())
+
+
 def test_what_waited_behind_another_is_not_taken_once_its_client_has_left(
     script: type[Script], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -337,6 +371,116 @@
     run(test())
 
 
+async def leave_unseen(p: Proxy, client: Client, how: str) -> None:
+    """The client leaves, and the loop is not told: as if it had been too busy to come to it since."""
+    (inside,) = p.frontend.clients
+    inside.transport.pause_reading()
+    if how == "half-close":
+        client.writer.write_eof()
+    else:
+        if how == "reset":
+            linger = struct.pack("ii", 1, 0)
+            client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        client.writer.transport.abort()
+    await until(lambda: hung_up(inside.transport))
+    assert not events(ClientGone)
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+@pytest.mark.parametrize("further", [False, True])
+def test_nothing_is_sent_for_a_client_that_left_while_the_loop_was_busy(
+    script: type[Script], how: str, further: bool
+) -> None:
+    """Nor sent again: an attempt that begins 0.1 s after the close is a break, however late the loop is."""
+
+    def act(batch: list[Any]) -> list[Action]:
+        kinds = (TimerFired, Arrival) if further else TimerFired
+        return [Send("c1", "s0", 9000.0) for e in batch if isinstance(e, kinds)]
+
+    script.act = staticmethod(act)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            await until(lambda: events(Arrival))
+            if further:
+                (await p.backends[0].calls.get()).reply(status=500)
+                await until(lambda: events(Outcome))
+            await leave_unseen(p, client, how)
+            p.engine._on_timer(7, p.engine.life)
+            await until(lambda: len(events(Outcome)) == 1 + further)
+            assert events(Outcome)[-1][:3] == ("c1", int(further), Result.NOT_SENT)
+            await until(lambda: events(ClientGone) and not p.engine.requests and not p.frontend.clients)
+            assert events(ClientGone) == [ClientGone("c1")] and p.backends[0].calls.empty()
+            assert p.backends[0].connections == int(further)
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+def test_a_connection_that_comes_up_for_a_client_that_left_unseen_carries_nothing(
+    script: type[Script], how: str
+) -> None:
+    script.act = each(Arrival, lambda e: [Send(e.request, "s0", 9000.0)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            gate = Gate.of(p.engine.backends)
+            client = await p.client()
+            client.send()
+            comes_up = await gate.knocks.get()
+            await leave_unseen(p, client, how)
+            comes_up.set()
+            await until(lambda: events(Outcome))
+            assert [e[:3] for e in events(Outcome)] == [("c1", 0, Result.NOT_SENT)]
+            await until(lambda: not p.engine.requests and not p.engine.backends.connections)
+            assert events(ClientGone) == [ClientGone("c1")] and p.backends[0].calls.empty()
+
+    run(test())
+
+
+@pytest.mark.parametrize("pooled", [False, True])
+@pytest.mark.parametrize("over", ["within", "limit", "neither"])
+def test_the_time_that_a_step_took_counts_against_the_times_of_its_sends(
+    script: type[Script], over: str, pooled: bool
+) -> None:
+    """The module counts from the start of its step; a long one, or many sends in it, may outlast a window."""
+    limit, within = 500_000.0 if over == "limit" else 9e6, 500_000.0 if over == "within" else 8e6
+
+    def act(batch: list[Any]) -> list[Action]:
+        arrivals = [e.request for e in batch if isinstance(e, Arrival)]
+        if "late" in arrivals:  # as if this step had begun so long ago
+            engines[0].stepped = now_ms() - 1_000_000.0
+            return [Send("late", "s0", limit, within)]
+        return [Send(request, "s0", 9000.0) for request in arrivals]
+
+    engines: list[Any] = []
+    script.act = staticmethod(act)
+
+    async def test() -> None:
+        async with proxy() as p:
+            engines.append(p.engine)
+            client = await p.client()
+            if pooled:
+                client.send(x_call_id="first")
+                (await p.backends[0].calls.get()).reply()
+                assert (await client.reply()).status == 200
+                p.engine.backends.backends["s0"].idle[0].idle_since -= 1000.0  # it may be lent again
+            client.send(x_call_id="late")
+            if over == "neither":
+                call = await p.backends[0].calls.get()
+                assert int(call.headers["x-budget-ms"]) <= 8_000_000
+                call.reply()
+                assert (await client.reply()).status == 200
+                return
+            await until(lambda: len(events(Outcome)) == 1 + pooled)
+            assert events(Outcome)[-1][:3] == ("late", 0, Result.CONNECT_FAILED)
+            assert p.backends[0].calls.empty() and p.backends[0].connections == int(pooled)
+
+    run(test())
+
+
 def test_timers_watches_and_probes_are_carried_out(script: type[Script]) -> None:
     script.act = each(
         ServerList, lambda e: [SetTimer(1.0, 42), Probe("s0"), Watch()] * (e.kind is ListKind.SAVED)
