Keep descriptors for the program's own needs under small limits, and refuse to start with too few

Cause: of a limit under 160 descriptors only a quarter was kept back, 16 of 64 and 8 of 32, while a running program holds 16 of its own (stdio, loop, signals, listening, peers, discovery), and one more for what is accepted or opened as another closes. With all places taken, discovery, backends and new clients met 'Too many open files'. A limit of 0 or below started a proxy that took nobody, without a word.

Change: at least 24 are kept back; under 32 descriptors, by the configuration or the process's own limit, the start ends with one line. From 160 descriptors on nothing changes.

Seen: with the old share the new test failed under limits of 64 and 32 (4 cases of 8: discovery silent and refusing), and the start with 0 and -1 sockets went on for the test's 60 s. It passes with the change at 256, 64 and 32.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -38,6 +38,10 @@
 # s, the longest deadline that the platform counts: 0.7 s after it a stopping proxy is ended by force.
 LONGEST_S = 3.0
 SPARE_SOCKETS = 40  # descriptors for the program itself, discovery, and those that are just closing
+# With few descriptors a quarter of them, but no fewer than these: a running program has 16 of its own, peers
+# and discovery among them, and one more for each connection that is accepted or opened as another closes.
+LEAST_SPARE = 24
+LEAST_SOCKETS = 32  # with fewer hardly anybody could be served
 # Of the other descriptors: clients hold a third of all for requests at most, each in flight once or waiting
 # here, and beside them there are kept and silent ones.
 BACKEND_PART = 0.42
@@ -81,6 +85,9 @@
             self.seed = int(text(raw["seed"], "seed"), 16)
             limits: dict[str, Any] = mapping(raw.get("limits") or {}, "limits")
             self.sockets = whole(given(limits, "sockets", 1024), "sockets")
+            self.sockets = min(self.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+            if self.sockets < LEAST_SOCKETS:
+                raise Malformed(f"sockets: {self.sockets} are too few, {LEAST_SOCKETS} are needed")
             self.tier = read_tier(raw) if self.settings.may_tell else None
             for address in (self.listen, self.discovery):
                 split_address(address)
@@ -90,11 +97,16 @@
             raise Malformed(f"{path}: {error}") from None
 
 
+def places(sockets: int) -> tuple[int, int]:
+    """How many connections clients may have, and how many may lead to backends."""
+    sockets -= max(min(SPARE_SOCKETS, sockets // 4), LEAST_SPARE)
+    to_backends = int(sockets * BACKEND_PART)
+    return sockets - to_backends, to_backends
+
+
 def start(config: Config) -> tuple[Engine, Frontend]:
     """Wire the parts; from here on clients are served."""
-    sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-    sockets -= min(SPARE_SOCKETS, sockets // 4)
-    to_backends = int(sockets * BACKEND_PART)
+    of_clients, to_backends = places(config.sockets)
     engine = Engine(config.settings, config.wire, config.seed, to_backends)
     engine.discovery = Discovery(
         config.discovery,
@@ -113,7 +125,7 @@
     if not config.settings.ask_for_list:
         # A pushed list comes as far as the agent on this machine; from there it has to be read, from now on.
         engine.discovery.watch()
-    frontend = Frontend(engine, Reader(config.settings, config.wire), sockets - to_backends)
+    frontend = Frontend(engine, Reader(config.settings, config.wire), of_clients)
     frontend.listen(config.listen)
     return engine, frontend
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import tempfile
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
@@ -64,8 +65,12 @@
         self.writers: list[asyncio.StreamWriter] = []
         self.address = ""
 
-    async def open(self) -> Peer:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def open(self, sock: socket.socket | None = None) -> Peer:
+        """On a free address, or on that of a socket that has one and refuses so far."""
+        if sock is None:
+            self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        else:
+            self.server = await asyncio.start_server(self._serve, sock=sock)
         self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
         return self
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from flintlatch.__main__ import Config
+from flintlatch.__main__ import Config, places
 from tests.loopback import LIMIT_S, Client, Peer, configuration, listing, request, run, target
 
 GOOD = configuration("127.0.0.1:1")
@@ -44,6 +44,10 @@
         (GOOD | {"listen": "here"}, "here"),
         (GOOD | {"listen": "203.0.113.1:1"}, "assign"),
         (GOOD | {"known": {"rev": 1, "all": True, "targets": [{}]}}, "uid"),
+        (GOOD | {"limits": {"sockets": 0}}, "sockets"),
+        (GOOD | {"limits": {"sockets": -1}}, "sockets"),
+        (GOOD | {"limits": {"sockets": "64"}}, "sockets"),
+        (GOOD | {"limits": 5}, "limits"),
         (GOOD | {"settings": {"Lanes": []}}, "class"),
         (GOOD | {"settings": {}}, "Lanes"),
         (GOOD | {"settings": GOOD["settings"] | {"TickMs": 0}}, "tick_ms"),
@@ -123,6 +127,74 @@
     run(test())
 
 
+@pytest.mark.parametrize("silent", [True, False])
+@pytest.mark.parametrize(("limit", "sockets"), [(256, 1024), (1024, 64), (64, 1024), (32, 1024)])
+def test_a_full_proxy_reaches_discovery_and_serves_old_and_new_clients(
+    tmp_path: Path, limit: int, sockets: int, silent: bool
+) -> None:
+    """Clients that wait and idle ones hold all places while discovery is down; peers have their socket."""
+
+    def few_descriptors() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
+    async def test() -> None:
+        backend, other, registry = await Peer().open(), await Peer().open(), Peer()
+        down = socket.socket()
+        down.bind(("127.0.0.1", 0))  # refuses until it listens
+        address = "{}:{}".format(*down.getsockname())
+        if silent:
+            await registry.open(down)
+        known = [target(f"s{number}", backend.address) for number in range(150)]
+        config = configuration(address, *known, sockets=sockets, list_mode="push", Peers=True)
+        config |= {"peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1"], "peers_all": "127.0.0.1:1"}
+        program = await asyncio.create_subprocess_exec(
+            *COMMAND, env=write(tmp_path, config), stderr=asyncio.subprocess.PIPE, preexec_fn=few_descriptors
+        )
+        assert program.stderr is not None
+        while " listens on " not in (line := (await program.stderr.readline()).decode()):
+            assert line
+        of_clients, to_backends = places(min(limit, sockets))
+        address, calls, busy = line.split()[-1], [], []
+        for number in range(of_clients):
+            busy.append(await Client.open(address))
+            busy[-1].send("/lookup", "GET", x_call_id=f"c{number}")
+            if number < to_backends:  # what is more waits for its turn
+                calls.append(await backend.calls.get())
+        held = Path(f"/proc/{program.pid}/fd")
+        while len(os.listdir(held)) < of_clients + to_backends:
+            await asyncio.sleep(0.001)
+        assert len(os.listdir(held)) < min(limit, sockets)
+        for client in busy[to_backends:]:
+            client.close()
+        idle = [await Client.open(address) for _ in range(of_clients)]
+        for client in idle:
+            client.send("/health/ready", "GET")
+        for client in idle:  # one in the place of another
+            assert (await client.reply()).status == 200
+        if not silent:
+            await registry.open(down)
+        body = json.dumps(listing(2, target("t", other.address))).encode()
+        while "?since=2&" not in (call := await registry.calls.get()).line:
+            call.reply(body)
+        for call in calls:
+            call.reply(b"held")
+        for client in busy[:to_backends]:
+            assert (await client.reply()).body == b"held"
+        new = await Client.open(address)
+        new.send(x_call_id="new")
+        (await other.calls.get()).reply(b"new")
+        assert (await new.reply()).body == b"new"
+        program.send_signal(signal.SIGTERM)
+        assert "Too many open files" not in (await program.stderr.read()).decode()
+        assert await program.wait() == 0
+        for client in [*busy, *idle, new]:
+            client.close()
+        for peer in (backend, other, registry):
+            peer.close()
+
+    run(test())
+
+
 def test_sigterm_ends_it_cleanly_after_what_was_taken_is_answered(tmp_path: Path) -> None:
     async def test() -> None:
         backend = await Peer().open()
