Take lists as long as the memory bears from discovery, where 1 MiB was the end

Cause: MAX_LIST held an answer of discovery to 1 MiB, about 6,300 entries. A longer list was a failed call, forever: its proxy kept to the saved list until the end.

Change: an answer may have a 32nd of the memory (limits.memory_mb) beyond 32 MB, which the program itself needs, and 1 MiB at least: 5 MiB at 192 MB, 3 MiB at 128 MB (about 19,000 entries), 1 MiB at 32 MB as before. memory_mb must be above 0. Measured as a trial: whole lists of 20,000 entries (3.3 MB), one after another, took the program from 27 to 123 MB at the peak, 29 times their bytes.

Seen: with the old bound the list of 20,000 was not taken ('connection broken'); with no bound the answer without end went on past 16 MiB. Not mended here: the whole list is read in one turn of the loop.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 from dataclasses import replace
+from math import inf
 from typing import Any
 
 import orjson
@@ -28,6 +29,7 @@
     given,
     listing,
     mapping,
+    number,
     read_settings,
     read_wire,
     text,
@@ -88,6 +90,9 @@
             self.sockets = min(self.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
             if self.sockets < LEAST_SOCKETS:
                 raise Malformed(f"sockets: {self.sockets} are too few, {LEAST_SOCKETS} are needed")
+            self.memory_mb = number(given(limits, "memory_mb", 192), "memory_mb")
+            if not 0 < self.memory_mb < inf:
+                raise Malformed(f"memory_mb: {self.memory_mb} can't be")
             self.tier = read_tier(raw) if self.settings.may_tell else None
             for address in (self.listen, self.discovery):
                 split_address(address)
@@ -115,6 +120,7 @@
         engine.on_list,
         engine.on_list_failure,
         pushed=not config.settings.ask_for_list,
+        memory_mb=config.memory_mb,
     )
     engine.on_list(config.known, ListKind.SAVED)
     if config.tier is not None:
@@ -148,8 +154,8 @@
         lambda _, context: log(f"bug: {context.get('message')}: {context.get('exception')!r}")
     )
     stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    for ends in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(ends, stop.set)
     engine, frontend = start(config)
     # In the same turn as the start: no client can have seen the proxy ready before.
     loop.add_signal_handler(signal.SIGHUP, reload, engine, dict(os.environ))
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -24,7 +24,11 @@
 # may use up so much of the drain grace each. The agent is on this machine, and slow only when that is.
 GRACE_PART = 0.4
 LEAST_MS = 200.0
-MAX_LIST = 1024 * 1024
+# A list may be as long as the memory bears: one of 20,000 entries, 3.3 MB, that replaces another takes 29
+# times its bytes for a moment, beside 27 MB for the program. What is longer would end the program.
+LIST_PART = 1 / 32
+PROGRAM_MB = 32.0
+LEAST_LIST = 1024 * 1024
 
 
 class Target(NamedTuple):
@@ -78,8 +82,8 @@
 class Call(Exchange):
     """A kept connection to the list service; each answer is awaited."""
 
-    def __init__(self) -> None:
-        super().__init__(MAX_LIST)
+    def __init__(self, most: int) -> None:
+        super().__init__(most)
         self.answer: asyncio.Future[Response] | None = None
 
     async def get(self, request: bytes) -> Response:
@@ -107,9 +111,11 @@
         on_list: Callable[[Listing], None],
         on_failure: Callable[[str], None],
         pushed: bool = False,
+        memory_mb: float = PROGRAM_MB,
     ) -> None:
         most = max(wire.drain_grace_ms * GRACE_PART, LEAST_MS) if pushed else inf
         self.wait_ms, self.silent_ms = int(min(WAIT_MS, most)), min(SILENT_MS, most)
+        self.most = max(int((memory_mb - PROGRAM_MB) * 1024 * 1024 * LIST_PART), LEAST_LIST)
         self.address, self.wire, self.rev = address, wire, rev
         self.on_list, self.on_failure = on_list, on_failure
         self.call: Call | None = None
@@ -160,7 +166,7 @@
     async def _fetch(self, wait: int) -> Listing:
         if self.call is None or not self.call.usable:
             self._hang_up()
-            self.call = Call()  # known before it comes up, which may be just as it is hung up
+            self.call = Call(self.most)  # known before it comes up, which may be just as it is hung up
             await self._connect(self.call)
         path = "/registry/instances"
         if self.rev is not None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 
 import pytest
@@ -224,6 +224,33 @@
     run(test())
 
 
+def test_a_list_of_20000_is_taken_within_192_mb_and_one_without_end_is_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery_module, "SILENT_MS", 60_000)  # not by the time that it takes
+
+    async def test() -> None:
+        async with proxy(memory_mb=192) as p:
+            many = [target(f"s-{number:08x}", ADDRESS) for number in range(20_000)]
+            first = await p.registry.calls.get()
+            first.reply(json.dumps(listing(2, *many)).encode())
+            call = await p.registry.calls.get()
+            assert "?since=2&" in call.line and p.engine.backends.active() == 20_000
+            call.writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            sent, piece = 0, b" " * 65_536
+            while not call.closed.is_set():
+                call.writer.write(b"10000\r\n%b\r\n" % piece)
+                sent += len(piece)
+                assert sent < 16 * 1024 * 1024
+                with suppress(ConnectionError):
+                    await call.writer.drain()
+                await asyncio.sleep(0)
+            assert p.engine.backends.active() == 20_000
+            assert "?since=2&" in (await p.registry.calls.get()).line
+
+    run(test())
+
+
 @pytest.mark.parametrize("how", ["noise", "end"])
 def test_a_connection_that_ends_between_two_calls_is_no_failed_call(how: str) -> None:
     async def test() -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -48,6 +48,7 @@
         (GOOD | {"limits": {"sockets": -1}}, "sockets"),
         (GOOD | {"limits": {"sockets": "64"}}, "sockets"),
         (GOOD | {"limits": 5}, "limits"),
+        (GOOD | {"limits": {"memory_mb": 0}}, "memory_mb"),
         (GOOD | {"settings": {"Lanes": []}}, "class"),
         (GOOD | {"settings": {}}, "Lanes"),
         (GOOD | {"settings": GOOD["settings"] | {"TickMs": 0}}, "tick_ms"),
