--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -160,9 +160,12 @@
     # In the same turn as the start: no client can have seen the proxy ready before.
     loop.add_signal_handler(signal.SIGHUP, reload, engine, dict(os.environ))
     log(f"{config.name} listens on {frontend.address}")
-    # What start-up made stays for good: the collector need not walk it in the middle of a request.
+    # What start-up made stays for good, and so does what the module's first step makes of the saved list: the
+    # collector need not walk it in the middle of a request.
+    await asyncio.sleep(0)
     gc.collect()
     gc.freeze()
+    gc.enable()
     await stop.wait()
     log("stopping")
     frontend.stop_keeping()
@@ -176,6 +179,7 @@
 
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop has its handler: the file is read below
+    gc.disable()  # until all is made: next to nothing of it is to be thrown away
     try:
         config = Config(dict(os.environ))
     except Malformed as error:
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from ipaddress import ip_address
 from math import inf
@@ -51,11 +52,21 @@
     return value if type(value) is int else names.setdefault(text(value, member), len(names))
 
 
+def check_ip(host: str) -> None:
+    """ValueError unless it is an IP address: a name would have to be looked up, and there is no DNS."""
+    try:
+        socket.inet_pton(
+            socket.AF_INET, host
+        )  # what nearly all are, told by the C library in a tenth of the time
+    except OSError:
+        ip_address(host)
+
+
 def read_target(raw: object, wire: Wire) -> Target:
     entry = mapping(raw, "targets")
     uid, started = text(entry["uid"], "uid"), entry.get("boot_ms")
     host, port = split_address(text(entry["endpoint"], "endpoint"))
-    ip_address(host)  # a name would have to be looked up, and there is no DNS
+    check_ip(host)
     info = ServerInfo(
         uid,
         choice(STATES, entry["state"], "state"),
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -74,6 +74,8 @@
     b'{"rev":"x","all":true,"targets":[]}',
     json.dumps(listing(42, target("s", "host.name:80"))).encode(),
     json.dumps(listing(42, target("s", "127.0.0.1"))).encode(),
+    json.dumps(listing(42, target("s", "127.0.0.01:80"))).encode(),
+    json.dumps(listing(42, target("s", "127.0.0.1\0:80"))).encode(),
     json.dumps(listing(42, target("s", ADDRESS, "odd"))).encode(),
     json.dumps(listing(42, {"uid": "s"})).encode(),
 ]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -196,6 +196,61 @@
     run(test())
 
 
+@pytest.mark.parametrize("silent", [True, False])
+@pytest.mark.parametrize("backends", [200, 20_000])
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_it_is_ready_and_serves_from_the_saved_list_while_discovery_is_down(
+    tmp_path: Path, backends: int, mode: str, silent: bool
+) -> None:
+    """A restart must not wait for what discovery tells: that refuses, or takes connections and is silent."""
+
+    async def test() -> None:
+        backend = await Peer().open()
+        with socket.socket() as down:
+            down.bind(("127.0.0.1", 0))
+            if silent:
+                down.listen()
+            where = "{}:{}".format(*down.getsockname())
+            known = [target(f"s{number}", backend.address) for number in range(backends)]
+            program = await asyncio.create_subprocess_exec(
+                *COMMAND,
+                env=write(tmp_path, configuration(where, *known, list_mode=mode)),
+                stderr=asyncio.subprocess.PIPE,
+            )
+            assert program.stderr is not None
+            while " listens on " not in (line := (await program.stderr.readline()).decode()):
+                assert line
+            client = await Client.open(line.split()[-1])
+            assert (await client.ask("/health/ready", "GET")).status == 200
+            client.send()
+            (await backend.calls.get()).reply(b"from the saved list")
+            assert (await client.reply()).body == b"from the saved list"
+            client.close()
+            program.send_signal(signal.SIGTERM)
+            assert "bug" not in (await program.stderr.read()).decode()
+            assert await program.wait() == 0
+        backend.close()
+
+    run(test())
+
+
+def test_what_the_module_makes_of_the_saved_list_is_kept_from_the_collector(tmp_path: Path) -> None:
+    """Walked again and again, 20,000 backends would hold up requests."""
+    code = """if True:
+        import gc, os, signal, sys
+        from flintlatch import __main__ as program
+        from flintlatch.choice import Balancer
+        step, freeze, on = Balancer.step, gc.freeze, gc.enable
+        Balancer.step = lambda *args: (print("step", gc.isenabled()), step(*args))[1]
+        gc.freeze = lambda: (print("freeze"), freeze())
+        gc.enable = lambda: (on(), print("enable"), os.kill(os.getpid(), signal.SIGTERM))
+        sys.exit(program.main())"""
+    done = subprocess.run(
+        [sys.executable, "-c", code], env=write(tmp_path, GOOD), capture_output=True, text=True, check=False
+    )
+    assert done.stdout.split("\n")[:3] == ["step False", "freeze", "enable"] and done.returncode == 0
+
+
 def test_sigterm_ends_it_cleanly_after_what_was_taken_is_answered(tmp_path: Path) -> None:
     async def test() -> None:
         backend = await Peer().open()
