End the start with one line also for a taken address and for names where addresses belong

Cause: with a pushed list the watch was opened before the socket that clients use, so a start whose address was taken told of a failed call to discovery as well: two lines. A name as listen address was looked up (there is no DNS), one with a NUL ended in a traceback and exit 1, and a name in peer_listen left the proxy without peers.

Change: listen comes before the watch, in the same turn; hosts of listen, peer_listen, peers and peers_all are checked as those of backends are, and anything but an IP address ends the start with exit 2.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -16,7 +16,7 @@
 import uvloop
 
 from flintlatch.api import ListKind, Settings
-from flintlatch.net.discovery import Discovery, Listing, read_listing
+from flintlatch.net.discovery import Discovery, Listing, check_ip, read_listing
 from flintlatch.net.engine import Engine, log
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import split_address
@@ -56,7 +56,7 @@
     addresses = tuple(text(address, "peers") for address in listing(raw["peers"], "peers"))
     tier = Tier(text(raw["peer_listen"], "peer_listen"), addresses, text(raw["peers_all"], "peers_all"))
     for address in (tier.listen, tier.everyone, *tier.peers):
-        split_address(address)
+        check_ip(split_address(address)[0])
     return tier
 
 
@@ -94,8 +94,8 @@
             if not 0 < self.memory_mb < inf:
                 raise Malformed(f"memory_mb: {self.memory_mb} can't be")
             self.tier = read_tier(raw) if self.settings.may_tell else None
-            for address in (self.listen, self.discovery):
-                split_address(address)
+            split_address(self.discovery)
+            check_ip(split_address(self.listen)[0])
         except KeyError as error:
             raise Malformed(f"{path}: {error.args[0]} is missing") from None
         except ValueError as error:
@@ -128,11 +128,11 @@
             engine.peers = Peers(config.tier, engine.on_peer)
         except OSError as error:  # what peers would say is of help, but clients are served without it
             log(f"peers: {error}")
+    frontend = Frontend(engine, Reader(config.settings, config.wire), of_clients)
+    frontend.listen(config.listen)  # before anything is asked: without the address the program ends here
     if not config.settings.ask_for_list:
         # A pushed list comes as far as the agent on this machine; from there it has to be read, from now on.
         engine.discovery.watch()
-    frontend = Frontend(engine, Reader(config.settings, config.wire), of_clients)
-    frontend.listen(config.listen)
     return engine, frontend
 
 
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -58,7 +58,7 @@
         socket.inet_pton(
             socket.AF_INET, host
         )  # what nearly all are, told by the C library in a tenth of the time
-    except OSError:
+    except (OSError, ValueError):
         ip_address(host)
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -28,8 +28,15 @@
     return {k: v for k, v in os.environ.items() if not k.startswith("LB_")} | {"LB_CONFIG": str(path)}
 
 
-def without(name: str) -> dict[str, Any]:
-    return {k: v for k, v in GOOD.items() if k != name}
+TOLD = configuration("127.0.0.1:1", Peers=True) | {
+    "peer_listen": "127.0.0.1:1",
+    "peers": ["127.0.0.1:1"],
+    "peers_all": "127.0.0.1:2",
+}
+
+
+def without(name: str, config: dict[str, Any] = GOOD) -> dict[str, Any]:
+    return {k: v for k, v in config.items() if k != name}
 
 
 @pytest.mark.parametrize(
@@ -43,6 +50,21 @@
         (GOOD | {"seed": "xyz"}, "base 16"),
         (GOOD | {"listen": "here"}, "here"),
         (GOOD | {"listen": "203.0.113.1:1"}, "assign"),
+        (GOOD | {"listen": "a..b:1"}, "a..b"),
+        (GOOD | {"listen": "127.0.0.1\0:1"}, "127.0.0.1"),
+        (GOOD | {"listen": "127.0.0.1:65536"}, "65536"),
+        (GOOD | {"discovery": None}, "discovery"),
+        (GOOD | {"seed": None}, "seed"),
+        (GOOD | {"known": None}, "list"),
+        (GOOD | {"known": []}, "list"),
+        (GOOD | {"known": {"rev": 1, "all": True, "targets": None}}, "targets"),
+        (GOOD | {"known": {"rev": 1, "all": True}}, "targets"),
+        (GOOD | {"known": {"rev": None, "all": True, "targets": []}}, "rev"),
+        (TOLD | {"peers": [1]}, "peers"),
+        (TOLD | {"peers": {"a": 1}}, "peers"),
+        (TOLD | {"peers_all": None}, "peers_all"),
+        (without("peers_all", TOLD), "peers_all"),
+        (TOLD | {"peer_listen": "a..b:1"}, "a..b"),
         (GOOD | {"known": {"rev": 1, "all": True, "targets": [{}]}}, "uid"),
         (GOOD | {"limits": {"sockets": 0}}, "sockets"),
         (GOOD | {"limits": {"sockets": -1}}, "sockets"),
@@ -64,6 +86,19 @@
     assert words in done.stderr
 
 
+def test_an_address_that_is_taken_ends_it_with_one_plain_line(tmp_path: Path) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        config = configuration("127.0.0.1:1", list_mode="push")
+        config["listen"] = "{}:{}".format(*taken.getsockname())
+        done = subprocess.run(
+            COMMAND, env=write(tmp_path, config), capture_output=True, text=True, timeout=LIMIT_S, check=False
+        )
+    assert done.returncode == 2 and "in use" in done.stderr
+    assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
+
+
 def test_what_a_deployment_leaves_empty_is_as_if_it_were_not_there(tmp_path: Path) -> None:
     def read(value: dict[str, Any]) -> Config:
         lane = {"Name": "a", "AimMs": 300, "HardLimitMs": 900, "Effect": "read_like"}
