Let an idle client make room at once when no descriptor is left for a new one

Cause: where accept failed for want of a descriptor (a limit of the machine, or descriptors that went elsewhere) below the cap on clients, no idle connection was closed; above it the chosen one was kept, since accept came first. New clients waited until idle ones had been silent for 2 to 30 s.

Change: a failed accept closes the connection whose place is taken at the cap.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -344,10 +344,9 @@
             except OSError as error:
                 log(f"accept: {error}")
                 self._accept_later()
+                self._make_way(victim or self._victim())  # for want of a descriptor, wherever they went
                 return False
-            if victim is not None:  # only now that somebody needs its place
-                self.put(victim, None)
-                victim.transport.abort() if victim.closing else victim.transport.close()
+            self._make_way(victim)  # only now that somebody needs its place
             self.held += 1
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
             self.opening.add(cast("asyncio.Task[object]", task))
@@ -356,6 +355,11 @@
                 return False  # its descriptor is free only after this turn
         return False
 
+    def _make_way(self, victim: Client | None) -> None:
+        if victim is not None:
+            self.put(victim, None)
+            victim.transport.abort() if victim.closing else victim.transport.close()
+
     def _opened(self, task: asyncio.Task[object]) -> None:
         self.opening.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 
 import pytest
@@ -281,6 +282,36 @@
     run(test())
 
 
+def test_without_a_descriptor_for_a_new_client_an_idle_one_makes_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(frontend_module, "IDLE_S", 10_000.0)  # not because it has been idle for long
+
+    async def test() -> None:
+        async with proxy() as p:
+            idle = await p.client()
+            assert (await idle.ask("/health/ready", "GET")).status == 200
+            assert p.frontend.sock is not None
+            sock: socket.socket = p.frontend.sock
+
+            class Lacking:
+                def accept(self) -> tuple[socket.socket, object]:
+                    if p.frontend.held:
+                        raise OSError(errno.EMFILE, "Too many open files")
+                    return sock.accept()
+
+                def __getattr__(self, name: str) -> object:
+                    return getattr(sock, name)
+
+            monkeypatch.setattr(p.frontend, "sock", Lacking())
+            new = await p.client()
+            new.send("/health/ready", "GET")
+            assert await idle.ended()
+            assert (await new.reply()).status == 200
+
+    run(test())
+
+
 def test_at_the_cap_with_all_busy_the_next_client_waits_its_turn() -> None:
     async def test() -> None:
         async with proxy() as p:
