Hold no more descriptors than there are places for clients that leave their answers unread

Cause: at the cap the idle connection chosen to make room was closed, but one with answers still to be written keeps its descriptor until its client has read them.

Until then the next one idle goes, or the kernel's queue holds those that come.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -35,6 +35,7 @@
 DRAIN_ACCEPT_S = 0.005  # s between looks at the kernel's queue before it goes: those accepted are served, too
 LAST_WORDS_S = 0.1  # s in which the last answers reach their clients before the program ends
 UNREAD_ANSWERS = 2 * MAX_BODY  # bytes of answers that a client may leave unread
+UNREAD_MS = 500.0  # ms after a request's time in which its answer may yet be read: then it is lost
 READY_PATH = b"/health/ready"
 
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -358,7 +359,8 @@
     def _make_way(self, victim: Client | None) -> None:
         if victim is not None:
             self.put(victim, None)
-            victim.transport.abort() if victim.closing else victim.transport.close()
+            gone = victim.closing or victim.transport.get_write_buffer_size()
+            victim.transport.abort() if gone else victim.transport.close()
 
     def _opened(self, task: asyncio.Task[object]) -> None:
         self.opening.discard(task)
@@ -376,14 +378,20 @@
             (self.waiting, SPARE_MS),
             (self.idle, 0.0),
         ):
-            client = next(iter(places), None)
-            # What the kernel holds already is a request that was sent in time.
-            if client is None or places[client] > now - spared_ms:
-                continue
-            if places is self.ending or not unread(client.transport):
-                return client
+            for client, since in places.items():
+                if since > now - spared_ms:
+                    break
+                if self._unflushed(client) and since > now - self.engine.longest_ms - UNREAD_MS:
+                    continue  # closed, it would keep its descriptor until it has read what waits for it
+                # What the kernel holds already is a request that was sent in time.
+                if places is self.ending or not unread(client.transport):
+                    return client
+                break
         return None
 
+    def _unflushed(self, client: Client) -> bool:
+        return client.places is not self.ending and client.transport.get_write_buffer_size() > 0
+
     def lost(self, client: Client) -> None:
         self.put(client, None)
         self.clients.discard(client)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -312,6 +312,32 @@
     run(test())
 
 
+def test_at_the_cap_those_that_leave_answers_unread_hold_no_more_places_than_there_are() -> None:
+    # Closed to make room, each kept its descriptor, and the new one had another: there was no end to them.
+    async def test() -> None:
+        async with proxy() as p:
+            p.frontend.most = 3
+            clients = [await p.client() for _ in range(3)]
+            for client in clients:
+                client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+                client.send("/health/ready", "GET")
+            while len(p.frontend.idle) < 3:
+                await asyncio.sleep(0.001)
+            for held in p.frontend.clients:
+                while not held.transport.get_write_buffer_size():
+                    held.transport.write(b"x" * 60_000)
+            last = await p.client()
+            last.send("/health/ready", "GET")
+            while p.frontend.accepting:
+                assert p.frontend.held == 3
+                await asyncio.sleep(0.001)
+            p.engine.longest_ms = -1000.0  # what they have not read by now is lost
+            assert (await last.reply()).status == 200
+            assert p.frontend.held <= 3
+
+    run(test())
+
+
 def test_at_the_cap_with_all_busy_the_next_client_waits_its_turn() -> None:
     async def test() -> None:
         async with proxy() as p:
