Blame no backend for an attempt that this proxy was too slow to write

Cause: a step that outlasts the time of a send ended it as unable to connect, which is a fault of the backend to the module: it rests it and tells peers. The step's slowness is this proxy's own, so the attempt ends for want of room, as with descriptors: never ran, may be sent again.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -9,13 +9,14 @@
 import signal
 import sys
 from dataclasses import replace
+from math import inf
 from typing import Any
 
 import orjson
 import uvloop
 
 from flintlatch.api import ListKind, Settings
-from flintlatch.net.discovery import Discovery, Listing, read_listing
+from flintlatch.net.discovery import Discovery, Listing, check_ip, read_listing
 from flintlatch.net.engine import Engine, log
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import split_address
@@ -28,6 +29,7 @@
     given,
     listing,
     mapping,
+    number,
     read_settings,
     read_wire,
     text,
@@ -38,6 +40,10 @@
 # s, the longest deadline that the platform counts: 0.7 s after it a stopping proxy is ended by force.
 LONGEST_S = 3.0
 SPARE_SOCKETS = 40  # descriptors for the program itself, discovery, and those that are just closing
+# With few descriptors a quarter of them, but no fewer than these: a running program has 16 of its own, peers
+# and discovery among them, and one more for each connection that is accepted or opened as another closes.
+LEAST_SPARE = 24
+LEAST_SOCKETS = 32  # with fewer hardly anybody could be served
 # Of the other descriptors: clients hold a third of all for requests at most, each in flight once or waiting
 # here, and beside them there are kept and silent ones.
 BACKEND_PART = 0.42
@@ -50,7 +56,7 @@
     addresses = tuple(text(address, "peers") for address in listing(raw["peers"], "peers"))
     tier = Tier(text(raw["peer_listen"], "peer_listen"), addresses, text(raw["peers_all"], "peers_all"))
     for address in (tier.listen, tier.everyone, *tier.peers):
-        split_address(address)
+        check_ip(split_address(address)[0])
     return tier
 
 
@@ -81,20 +87,31 @@
             self.seed = int(text(raw["seed"], "seed"), 16)
             limits: dict[str, Any] = mapping(raw.get("limits") or {}, "limits")
             self.sockets = whole(given(limits, "sockets", 1024), "sockets")
+            self.sockets = min(self.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+            if self.sockets < LEAST_SOCKETS:
+                raise Malformed(f"sockets: {self.sockets} are too few, {LEAST_SOCKETS} are needed")
+            self.memory_mb = number(given(limits, "memory_mb", 192), "memory_mb")
+            if not 0 < self.memory_mb < inf:
+                raise Malformed(f"memory_mb: {self.memory_mb} can't be")
             self.tier = read_tier(raw) if self.settings.may_tell else None
-            for address in (self.listen, self.discovery):
-                split_address(address)
+            split_address(self.discovery)
+            check_ip(split_address(self.listen)[0])
         except KeyError as error:
             raise Malformed(f"{path}: {error.args[0]} is missing") from None
         except ValueError as error:
             raise Malformed(f"{path}: {error}") from None
 
 
+def places(sockets: int) -> tuple[int, int]:
+    """How many connections clients may have, and how many may lead to backends."""
+    sockets -= max(min(SPARE_SOCKETS, sockets // 4), LEAST_SPARE)
+    to_backends = int(sockets * BACKEND_PART)
+    return sockets - to_backends, to_backends
+
+
 def start(config: Config) -> tuple[Engine, Frontend]:
     """Wire the parts; from here on clients are served."""
-    sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-    sockets -= min(SPARE_SOCKETS, sockets // 4)
-    to_backends = int(sockets * BACKEND_PART)
+    of_clients, to_backends = places(config.sockets)
     engine = Engine(config.settings, config.wire, config.seed, to_backends)
     engine.discovery = Discovery(
         config.discovery,
@@ -103,6 +120,7 @@
         engine.on_list,
         engine.on_list_failure,
         pushed=not config.settings.ask_for_list,
+        memory_mb=config.memory_mb,
     )
     engine.on_list(config.known, ListKind.SAVED)
     if config.tier is not None:
@@ -110,11 +128,11 @@
             engine.peers = Peers(config.tier, engine.on_peer)
         except OSError as error:  # what peers would say is of help, but clients are served without it
             log(f"peers: {error}")
+    frontend = Frontend(engine, Reader(config.settings, config.wire), of_clients)
+    frontend.listen(config.listen)  # before anything is asked: without the address the program ends here
     if not config.settings.ask_for_list:
         # A pushed list comes as far as the agent on this machine; from there it has to be read, from now on.
         engine.discovery.watch()
-    frontend = Frontend(engine, Reader(config.settings, config.wire), sockets - to_backends)
-    frontend.listen(config.listen)
     return engine, frontend
 
 
@@ -136,15 +154,18 @@
         lambda _, context: log(f"bug: {context.get('message')}: {context.get('exception')!r}")
     )
     stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    for ends in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(ends, stop.set)
     engine, frontend = start(config)
     # In the same turn as the start: no client can have seen the proxy ready before.
     loop.add_signal_handler(signal.SIGHUP, reload, engine, dict(os.environ))
     log(f"{config.name} listens on {frontend.address}")
-    # What start-up made stays for good: the collector need not walk it in the middle of a request.
+    # What start-up made stays for good, and so does what the module's first step makes of the saved list: the
+    # collector need not walk it in the middle of a request.
+    await asyncio.sleep(0)
     gc.collect()
     gc.freeze()
+    gc.enable()
     await stop.wait()
     log("stopping")
     frontend.stop_keeping()
@@ -158,6 +179,7 @@
 
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop has its handler: the file is read below
+    gc.disable()  # until all is made: next to nothing of it is to be thrown away
     try:
         config = Config(dict(os.environ))
     except Malformed as error:
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -180,9 +180,12 @@
 
     def start(self, attempt: Attempt) -> None:
         backend = self.backends.get(attempt.uid)
-        if backend is None or not backend.active() or attempt.over():
+        if backend is None or not backend.active():
             attempt.end(Result.CONNECT_FAILED)
             return
+        if attempt.over():  # this proxy was too slow, which is not the backend's doing
+            attempt.end(Result.NO_ROOM)
+            return
         self._time(attempt, min(attempt.deadline, attempt.write_by))
         kept = self._lend(backend)
         if kept is not None:
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from ipaddress import ip_address
 from math import inf
@@ -29,7 +30,11 @@
 # may use up so much of the drain grace each. The agent is on this machine, and slow only when that is.
 GRACE_PART = 0.4
 LEAST_MS = 200.0
-MAX_LIST = 1024 * 1024
+# A list may be as long as the memory bears: one of 20,000 entries, 3.3 MB, that replaces another takes 29
+# times its bytes for a moment, beside 27 MB for the program. What is longer would end the program.
+LIST_PART = 1 / 32
+PROGRAM_MB = 32.0
+LEAST_LIST = 1024 * 1024
 
 
 class Target(NamedTuple):
@@ -52,11 +57,21 @@
     return value if type(value) is int else names.setdefault(text(value, member), len(names))
 
 
+def check_ip(host: str) -> None:
+    """ValueError unless it is an IP address: a name would have to be looked up, and there is no DNS."""
+    try:
+        socket.inet_pton(
+            socket.AF_INET, host
+        )  # what nearly all are, told by the C library in a tenth of the time
+    except (OSError, ValueError):
+        ip_address(host)
+
+
 def read_target(raw: object, wire: Wire) -> Target:
     entry = mapping(raw, "targets")
     uid, started = text(entry["uid"], "uid"), entry.get("boot_ms")
     host, port = split_address(text(entry["endpoint"], "endpoint"))
-    ip_address(host)  # a name would have to be looked up, and there is no DNS
+    check_ip(host)
     info = ServerInfo(
         uid,
         choice(STATES, entry["state"], "state"),
@@ -83,8 +98,8 @@
 class Call(Exchange):
     """A kept connection to the list service; each answer is awaited."""
 
-    def __init__(self) -> None:
-        super().__init__(MAX_LIST)
+    def __init__(self, most: int) -> None:
+        super().__init__(most)
         self.answer: asyncio.Future[Response] | None = None
 
     async def get(self, request: bytes) -> Response:
@@ -112,10 +127,12 @@
         on_list: Callable[[Listing], None],
         on_failure: Callable[[str], None],
         pushed: bool = False,
+        memory_mb: float = PROGRAM_MB,
     ) -> None:
         most = max(wire.drain_grace_ms * GRACE_PART, LEAST_MS) if pushed else inf
         self.wait_ms, self.silent_ms = int(min(WAIT_MS, most)), min(SILENT_MS, most)
         self.call_ms = min(CALL_MS, most)
+        self.most = max(int((memory_mb - PROGRAM_MB) * 1024 * 1024 * LIST_PART), LEAST_LIST)
         self.address, self.wire, self.rev = address, wire, rev
         self.on_list, self.on_failure = on_list, on_failure
         self.call: Call | None = None  # that of the watch that stands
@@ -167,7 +184,9 @@
                 async with asyncio.timeout((self.wait_ms + self.silent_ms) / 1000):
                     if self.call is None or not self.call.usable:
                         self._hang_up()
-                        self.call = Call()  # known before it comes up, which may be just as it is hung up
+                        self.call = Call(
+                            self.most
+                        )  # known before it comes up: it may be hung up just then
                     news = await self._fetch(self.call, self.wait_ms)
         except Exception as error:
             # Whatever went wrong here, the module must hear of it: with a watch that has died unseen it
@@ -179,7 +198,7 @@
         """The first answer to any call that opens a watch, those of earlier tries that are still out too."""
         latest = self._answered()
         if latest is None:
-            self.call = call = Call()
+            self.call = call = Call(self.most)
             latest = asyncio.get_running_loop().create_task(self._fetch(call, FIRST_WAIT_MS))
             self.asked[latest] = call
             latest.add_done_callback(self._on_asked)
