--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -184,9 +184,7 @@
                 async with asyncio.timeout((self.wait_ms + self.silent_ms) / 1000):
                     if self.call is None or not self.call.usable:
                         self._hang_up()
-                        self.call = Call(
-                            self.most
-                        )  # known before it comes up: it may be hung up just then
+                        self.call = Call(self.most)  # known before it comes up: it may be hung up just then
                     news = await self._fetch(self.call, self.wait_ms)
         except Exception as error:
             # Whatever went wrong here, the module must hear of it: with a watch that has died unseen it
