Measure slopes: what a proxy costs as backends, peers, tenants and requests grow

A package of its own beside the program, `python -m scale slopes`: each thing is measured at several sizes and repeats, and a least-squares line is fitted, with the spread of its slopes. In the module by events through `step`, on the sockets' side by Backends, Discovery and a stand-in of discovery on loopback, memory in fresh child processes, messages by a made-up tier, and a real proxy process that is handed a list. The program imports nothing of it; its libraries (click, numpy) are in requirements-scale.txt, which the development environment alone takes.

Nothing measured yet at the target's sizes.

--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,110 @@
+"""The measuring tool at a tiny size. Nothing here rests on how fast anything is."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+import scale.process
+from scale.cli import main
+from scale.fit import fit
+from scale.measures import AXES, MEASURES
+
+TINY = ["--sizes", "10,20", "--repeats", "2", "--quiet"]
+TINY += [part for axis in AXES if axis != "backend" for part in ("--counts", f"{axis}=5,7")]
+
+
+def slopes(folder: Path, *arguments: str) -> dict[str, Any]:
+    file = folder / "slopes.json"
+    assert main(["slopes", *TINY, *arguments, "--json", str(file)]) == 0
+    found: dict[str, Any] = json.loads(file.read_text())
+    return found
+
+
+def test_the_fit_gives_a_known_line_and_tells_the_spread_of_its_slopes() -> None:
+    found = fit([10, 20, 40], [[35.0, 65.0, 125.0], [25.0, 45.0, 85.0]])
+    assert found.slope == pytest.approx(2.5) and found.intercept == pytest.approx(5.0)
+    assert [found.slope_min, found.slope_max] == pytest.approx([2.0, 3.0])
+    assert found.slope_sd == pytest.approx(0.5**0.5)
+    assert fit([1, 2, 3], [[5.0, 5.0, 5.0]]).r2 == 1.0
+
+
+def test_the_fit_shows_what_is_no_line() -> None:
+    assert fit([1, 2, 3], [[2.0, 4.0, 6.0]]).worst == pytest.approx(0.0)
+    curve = fit([1, 10, 100], [[1.0, 100.0, 10000.0]])
+    assert curve.r2 < 0.999 and curve.worst > 100
+    with pytest.raises(ValueError):
+        fit([5, 5], [[1.0, 1.0]])
+
+
+def test_every_measurement_has_its_values_in_the_json(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(scale.process, "SETTLE_S", 0.01)
+    monkeypatch.setattr(scale.process, "REST_S", 0.05)
+    monkeypatch.setattr(scale.process, "AFTER_S", 0.05)
+    found = slopes(tmp_path)
+    printed = capsys.readouterr().out
+    for name in [series.name for measure in MEASURES.values() for series in measure.series]:
+        (row,) = [row for row in found["series"] if row["name"] == name]
+        assert len(row["values"]) == 2 and name in printed
+        for values in row["values"].values():
+            assert len(values) == 2 and None not in values
+        assert row["fit"] is not None and row["unit"] and row["says"]
+    assert found["notes"] == [] and set(found["not_measured"]) == {"routes", "services"}
+    assert found["machine"]["revision"] and found["arguments"]["seed"] == 1
+
+
+def test_bytes_and_messages_are_the_same_twice(tmp_path: Path) -> None:
+    names = ("wire-list", "wire-change", "wire-watch", "messages")
+    what = [part for name in names for part in ("--what", name)]
+    first, second = slopes(tmp_path, *what), slopes(tmp_path, *what)
+    assert first["series"] == second["series"]
+
+
+def test_what_one_bad_backend_costs_is_counted(tmp_path: Path) -> None:
+    rows = {row["name"]: row["values"]["7"] for row in slopes(tmp_path, "--what", "messages")["series"]}
+    assert all(told > 0 for told in rows["tells"])
+    assert rows["datagrams"] == [6 * told for told in rows["tells"]]
+
+
+def test_a_list_that_the_proxy_refuses_is_told_and_not_measured(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("scale.made.list_bytes", lambda rev, count: b"no list")
+    found = slopes(tmp_path, "--what", "process")
+    assert all(set(sum(row["values"].values(), [])) == {None} for row in found["series"])
+    assert len(found["notes"]) == 1 and "not JSON" in found["notes"][0]
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["slopes", "--sizes", "1000"],
+        ["slopes", "--sizes", "10,no"],
+        ["slopes", "--counts", "moon=1,2"],
+        ["slopes", "--what", "routes"],
+        ["slopes", "--repeats", "0"],
+        ["slopes", "--json", "/nowhere/file.json"],
+        ["sing"],
+    ],
+)
+def test_what_cannot_be_done_ends_with_one_plain_line(
+    arguments: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(arguments) == 2
+    said = capsys.readouterr().err
+    assert said.startswith("scale: ") and said.count("\n") == 1 and len(said) > 20
+
+
+def test_the_program_runs_without_the_tool_and_its_libraries() -> None:
+    code = "import sys, flintlatch.__main__, flintlatch.adapter; print(*sys.modules)"
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    assert {"scale", "click", "numpy", "hdrh"}.isdisjoint(loaded.split())
+    done = subprocess.run([sys.executable, "-m", "scale", "slopes", "--sizes", "1"], capture_output=True)
+    assert done.returncode == 2 and done.stderr.count(b"\n") == 1
