Measure load: what one real proxy adds to a request, and what rate one core carries

`python -m scale load`: one proxy process, hollow backends in a second, open-loop clients in a third, whose requests fall due at times drawn ahead, so that a stall counts for all that fell due in it. What is added goes into an HDR histogram; beside it stand the tool's own lateness and the same clients straight to the backends.

Short trials of 3 s only so far.

--- a/scale/cli.py
+++ b/scale/cli.py
@@ -6,12 +6,13 @@
 
 import click
 
+from scale.load import load
 from scale.slopes import slopes
 
 
 @click.group()
 def cli() -> None:
-    """Measure what a proxy costs as the fleet round it grows."""
+    """Measure what a proxy costs as the fleet round it grows, and what one core carries."""
 
 
 def main(arguments: list[str]) -> int:
@@ -33,3 +34,4 @@
 
 
 cli.add_command(slopes)
+cli.add_command(load)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,9 +10,11 @@
 
 import pytest
 
+import scale.load
 import scale.process
 from scale.cli import main
 from scale.fit import fit
+from scale.load import verdict
 from scale.measures import AXES, MEASURES
 
 TINY = ["--sizes", "10,20", "--repeats", "2", "--quiet"]
@@ -82,6 +84,42 @@
     assert len(found["notes"]) == 1 and "not JSON" in found["notes"][0]
 
 
+def test_load_tells_of_each_rate_both_ways(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(scale.load, "WARM_S", 0.1)
+    file = tmp_path / "load.json"
+    more = ["--rates", "20,40", "--seconds", "0.5", "--repeats", "1", "--backends", "2", "--quiet"]
+    assert main(["load", *more, "--json", str(file), "--table", str(tmp_path / "load.txt")]) == 0
+    found = json.loads(file.read_text())
+    assert [(row["rate"], row["path"]) for row in found["rows"]] == [
+        (rate, path) for rate in (20.0, 40.0) for path in ("direct", "proxy")
+    ]
+    for row in found["rows"]:
+        assert row["answered"] == row["sent"] > 0 == row["refused"] + row["failed"]
+    assert found["verdict"] in (tmp_path / "load.txt").read_text()
+
+
+@pytest.mark.parametrize(
+    ("p99s", "words"),
+    [
+        (
+            {1000: 1.0, 1324: 3.7, 2000: 9.0},
+            "carries 1324 requests a second at 3.7 ms added at p99, and not 2000",
+        ),
+        ({1000: 1.0, 1324: 3.7, 2000: 9.0}, "is within it"),
+        ({1000: 1.0, 1300: 4.0, 2000: 1.0}, "1,324 a second a proxy is not within it"),
+        ({1000: 1.0, 2000: 9.0}, "beyond what was shown"),
+        ({1000: 9.0}, "carries no rate that was measured"),
+    ],
+)
+def test_the_last_line_says_what_was_carried(p99s: dict[int, float], words: str) -> None:
+    rows = [
+        {"rate": rate, "path": path, "added_ms": {"p99": p99}, "sent": 9, "refused": 0, "failed": 0}
+        for rate, p99 in p99s.items()
+        for path in ("proxy", "direct")
+    ]
+    assert words in verdict(rows)
+
+
 @pytest.mark.parametrize(
     "arguments",
     [
@@ -91,6 +129,9 @@
         ["slopes", "--what", "routes"],
         ["slopes", "--repeats", "0"],
         ["slopes", "--json", "/nowhere/file.json"],
+        ["load", "--rates", "-5"],
+        ["load", "--listen", "here"],
+        ["load", "--listen", "203.0.113.1:1", "--seconds", "0.1", "--rates", "20"],
         ["sing"],
     ],
 )
