Add a fleet of hollow proxies on a virtual clock, with a list service that speaks the protocol

The list service answers the published calls as bytes. Events: churn, a rack, a zone, a release, regions that lose each other, all proxies anew, discovery down for 8 s; live weights as an option. Counted: processor time and bytes a proxy a second, memory a proxy, how long a change takes to the last proxy, sends after the grace, calls on the service, exceptions of the module. One seed gives the same counts; a planted fault (--frozen) shows that sends after the grace are seen.

--- /dev/null
+++ b/scale/fleet/cli.py
@@ -0,0 +1,40 @@
+"""The command `fleet`."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from scale.fleet.run import EVENTS, BadPlan, Fleet, Plan, table
+
+
+@click.command(context_settings={"show_default": True})
+@click.option("--backends", default=1000, help="Size of the list.")
+@click.option("--proxies", default=100, help="Hollow proxies in this process.")
+@click.option("--seconds", default=60, help="Length on the virtual clock; the event comes after a third.")
+@click.option("--event", default="steady", help=f"One of {', '.join(EVENTS)}.")
+@click.option("--seed", default=1)
+@click.option("--pushed", is_flag=True, help="Lists are pushed by an agent, not asked for.")
+@click.option("--weights", is_flag=True, help="Renew all live weights each 500 to 900 ms.")
+@click.option("--rate", default=3.0, help="Requests a second to each proxy.")
+@click.option("--churn", default=1.0, help="Times the ordinary day's churn.")
+@click.option("--services", default=1, help="Services of the backends; a release touches one.")
+@click.option("--tier", default=0, help="Proxies that the settings name; 0 for --proxies.")
+@click.option("--lasting", default=0.0, help="Seconds of a lost zone or a cut; 0 for a third of the run.")
+@click.option("--grace-ms", default=1000.0, help="From being told of a drain to the last send.")
+@click.option("--frozen", default=0, help="Proxies with a planted fault: their list stays as it was.")
+@click.option("--memory-mb", default=0.0, help="Give up beyond this; 0 for half of the machine's.")
+@click.option("--json", "path", type=click.Path(path_type=Path), help="Write the figures to this file, too.")
+def fleet(path: Path | None, **options: int | float | str | bool) -> None:
+    """Run hollow proxies against a hollow list service on a virtual clock, and count what it costs."""
+    try:
+        figures = Fleet(Plan(**options)).run()  # type: ignore[arg-type]
+        if path is not None:
+            path.write_text(json.dumps(figures, indent=1) + "\n")
+    except (BadPlan, OSError) as error:
+        print(f"fleet: {error}", file=sys.stderr)
+        sys.exit(2)
+    print(table(figures))
