Count changes that a proxy did not hold in time, and say bad arguments in one line

With settings that name 3,400 proxies a list reached a proxy up to 10.7 s after its cut was over, and nothing counted it: no send happened to go to a drained backend in those seconds. `overdue` now counts changes that a proxy did not hold as they counted as told (6 s after discovery could be reached). Arguments that click refuses are said in one line, too, and a file that can't be written is known before the run.

--- a/scale/fleet/cli.py
+++ b/scale/fleet/cli.py
@@ -11,7 +11,18 @@
 from scale.fleet.run import EVENTS, BadPlan, Fleet, Plan, table
 
 
-@click.command(context_settings={"show_default": True})
+class Plain(click.Command):
+    """What is wrong with the arguments is said in one line."""
+
+    def parse_args(self, ctx: click.Context, args: list[str]) -> list[str]:
+        try:
+            return super().parse_args(ctx, args)
+        except click.UsageError as error:
+            print("fleet:", " ".join(error.format_message().split()), file=sys.stderr)
+            ctx.exit(2)
+
+
+@click.command(cls=Plain, context_settings={"show_default": True})
 @click.option("--backends", default=1000, help="Size of the list.")
 @click.option("--proxies", default=100, help="Hollow proxies in this process.")
 @click.option("--seconds", default=60, help="Length on the virtual clock; the event comes after a third.")
@@ -31,6 +42,8 @@
 def fleet(path: Path | None, **options: int | float | str | bool) -> None:
     """Run hollow proxies against a hollow list service on a virtual clock, and count what it costs."""
     try:
+        if path is not None:
+            path.touch()  # a run may be long, and must not end in a file that can't be written
         figures = Fleet(Plan(**options)).run()  # type: ignore[arg-type]
         if path is not None:
             path.write_text(json.dumps(figures, indent=1) + "\n")
--- a/scale/fleet/run.py
+++ b/scale/fleet/run.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from scale.fleet.clock import ORIGIN_S, virtual_loop
-from scale.fleet.proxy import HollowProxy, address
+from scale.fleet.proxy import SLACK_MS, HollowProxy, address
 from scale.fleet.service import Door
 from scale.fleet.world import DOWN_S, REGIONS, Rules, World
 
@@ -209,9 +209,11 @@
 
     def spread(self) -> dict[str, Any]:
         """How long (ms) changes since the end of the start took to each proxy: from their moment or the
-        proxy's start; for `reached`, from when its region could reach the service. `missed` are those that a
-        proxy did not hold at the end, without the last seconds' ones."""
-        world, waits, reached, missed, changes = self.world, [], [], 0, 0
+        proxy's start; for `reached`, from when its region could reach the service. `overdue` are those that a
+        proxy did not hold as they counted as told; `missed` those that it did not hold at the end, without
+        changes of the last seconds."""
+        world, waits, reached = self.world, list[float](), list[float]()
+        overdue = missed = changes = 0
         end, first = self.loop.time(), ORIGIN_S + self.plan.event_at // 2
         for rev, when in enumerate(world.list.versions, 1):
             if when < first:
@@ -221,6 +223,7 @@
                 account = proxy.account
                 held, had = account.held.since(rev), max(when, account.started)
                 due = world.reached(proxy.region, had)
+                overdue += (end if held is None else held) > proxy.told_at(rev) + SLACK_MS / 1000
                 if held is not None:
                     waits.append((held - had) * 1000)
                     reached.append(max(held - due, 0.0) * 1000)
@@ -232,6 +235,7 @@
             "last_ms": round(max(waits, default=0.0), 1),
             "reached_p99_ms": round(part(reached, 0.99), 1),
             "reached_last_ms": round(max(reached, default=0.0), 1),
+            "overdue": overdue,
             "missed": missed,
         }
 
@@ -277,7 +281,7 @@
         f"(process {memory['mb_most']} MB)",
         f"a change at 99 in 100 proxies after {spread['p99_ms']} ms, at the last after {spread['last_ms']}; "
         f"once reachable {spread['reached_p99_ms']} and {spread['reached_last_ms']} ms; "
-        f"{spread['changes']} changes, missed {spread['missed']}",
+        f"{spread['changes']} changes, overdue {spread['overdue']}, missed {spread['missed']}",
         ", ".join(f"{name} {count}" for name, count in figures["counts"].items()),
         f"other errors {figures['other_errors']}, process {figures['process_s']} s",
     ]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -213,7 +213,7 @@
 def test_a_drain_reaches_all_and_nothing_is_sent_after_its_grace(pushed: bool) -> None:
     figures = Fleet(Plan(**SMALL, event="release", pushed=pushed)).run()
     assert figures["spread"]["changes"] >= 10
-    assert figures["spread"]["missed"] == 0
+    assert figures["spread"]["missed"] == figures["spread"]["overdue"] == 0
     assert 0 < figures["spread"]["last_ms"] < 100
     assert figures["counts"]["sends after grace"] == 0
 
@@ -230,6 +230,15 @@
     assert {proxy.account.held.revs[-1] for proxy in run.proxies} == {run.world.list.rev}
 
 
+def test_proxies_that_start_anew_are_given_the_whole_list() -> None:
+    run = Fleet(Plan(**SMALL, event="restart"))
+    figures = run.run()
+    assert figures["list"]["wholes"] == len(run.proxies)
+    assert figures["spread"]["missed"] == 0
+    assert {proxy.account.held.revs[-1] for proxy in run.proxies} == {run.world.list.rev}
+    assert figures["counts"]["sends after grace"] == 0
+
+
 def test_a_frozen_list_is_counted_as_sends_after_the_grace() -> None:
     run = Fleet(Plan(**(SMALL | {"rate": 20.0}), event="release", frozen=1))
     figures = run.run()
@@ -238,6 +247,7 @@
     assert not any(late[1:])
     assert figures["counts"]["sends after grace"] == late[0]
     assert figures["spread"]["missed"] > 0
+    assert figures["spread"]["overdue"] >= figures["spread"]["missed"]
 
 
 def test_a_module_that_breaks_is_counted_and_followed_by_another() -> None:
@@ -305,7 +315,11 @@
     assert orjson.loads((tmp_path / "out.json").read_bytes())["plan"]["backends"] == 30
 
 
-@pytest.mark.parametrize("bad", [["--event", "flood"], ["--backends", "0"], ["--memory-mb", "1"]])
+@pytest.mark.parametrize(
+    "bad",
+    [["--event", "flood"], ["--backends", "0"], ["--memory-mb", "1"], ["--backends", "x"], ["--none"],
+     ["--json", "/nowhere/out.json"]],
+)  # fmt: skip
 def test_command_says_in_one_line_what_is_wrong(bad: list[str]) -> None:
     done = CliRunner().invoke(fleet, bad)
     assert done.exit_code == 2
