Keep a backend's line in its own bytes, and say how many changes were held

What orjson.dumps gives keeps the 4 KB that it was written into (tracemalloc: 4,089 bytes a line): a world of 150,000 backends took 723 MB before the first proxy, and takes 134 MB with a copy of each line. Where no proxy held a change, the time "0.0 ms" said nothing; the number of held ones stands beside it now.

--- a/scale/fleet/run.py
+++ b/scale/fleet/run.py
@@ -209,9 +209,9 @@
 
     def spread(self) -> dict[str, Any]:
         """How long (ms) changes since the end of the start took to each proxy: from their moment or the
-        proxy's start; for `reached`, from when its region could reach the service. `overdue` are those that a
-        proxy did not hold as they counted as told; `missed` those that it did not hold at the end, without
-        changes of the last seconds."""
+        proxy's start, over those `held`; for `reached`, from when its region could reach the service.
+        `overdue` are those that a proxy did not hold as they counted as told; `missed` those that it did not
+        hold at the end, without changes of the last seconds."""
         world, waits, reached = self.world, list[float](), list[float]()
         overdue = missed = changes = 0
         end, first = self.loop.time(), ORIGIN_S + self.plan.event_at // 2
@@ -231,6 +231,7 @@
                     missed += 1
         return {
             "changes": changes,
+            "held": len(waits),
             "p99_ms": round(part(waits, 0.99), 1),
             "last_ms": round(max(waits, default=0.0), 1),
             "reached_p99_ms": round(part(reached, 0.99), 1),
@@ -281,7 +282,8 @@
         f"(process {memory['mb_most']} MB)",
         f"a change at 99 in 100 proxies after {spread['p99_ms']} ms, at the last after {spread['last_ms']}; "
         f"once reachable {spread['reached_p99_ms']} and {spread['reached_last_ms']} ms; "
-        f"{spread['changes']} changes, overdue {spread['overdue']}, missed {spread['missed']}",
+        f"{spread['changes']} changes, held {spread['held']}, overdue {spread['overdue']}, "
+        f"missed {spread['missed']}",
         ", ".join(f"{name} {count}" for name, count in figures["counts"].items()),
         f"other errors {figures['other_errors']}, process {figures['process_s']} s",
     ]
--- a/scale/fleet/world.py
+++ b/scale/fleet/world.py
@@ -52,7 +52,8 @@
         entry = {"uid": self.uid, "endpoint": self.endpoint, "az": zone_name(self.zone), "model": "m1",
                  "pod_group": self.rack, "state": self.state, "capacity_hint": self.weight,
                  "boot_ms": round(self.boot_ms)}  # fmt: skip
-        return Change(self.uid, orjson.dumps(entry), self.state == LEFT)
+        # A copy: what orjson gives holds on to 4 KB, and the service keeps one for each backend.
+        return Change(self.uid, bytes(memoryview(orjson.dumps(entry))), self.state == LEFT)
 
 
 def region_of(zone: int) -> int:
