--- a/scale/cli.py
+++ b/scale/cli.py
@@ -6,6 +6,7 @@
 
 import click
 
+from scale.fleet.cli import fleet
 from scale.load import load
 from scale.slopes import slopes
 
@@ -35,3 +36,4 @@
 
 cli.add_command(slopes)
 cli.add_command(load)
+cli.add_command(fleet)
