Keep what was learned of the first servers by rank only, and of the others what the list told

Cause: the module kept full state of every server, sorted and scanned all of them at each change and each second, so what a proxy spends for control grew with the whole list instead of with what it keeps to.

Change: full state for the first 256 (one of many: twice its near ones) in the proxy's own rank order; the others are plain tuples in buckets by rank, with hints that find a cell's or zone's members for keyed repeats. Departures bring the next by rank in, arrivals beyond a slack of 64 push the last out. Few proxies send to all kept ones and keep more under load or while kept ones are cold or rest. The count of all active servers stands where their number is meant (first limit on all in flight, sharers of a cold budget). Servers named alike by CRC-32 are both kept, also for peers' blame. ListKind.MORE: further entries of a saved list.

--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -49,11 +49,13 @@
 
 
 class ListKind(Enum):
-    """What a server list event holds: changes, everything, a saved copy, or a failed call."""
+    """What a server list event holds: changes, everything, a saved copy and further entries of a long one,
+    or a failed call."""
 
     CHANGES = "changes"
     FULL = "full"
     SAVED = "saved"
+    MORE = "more"
     FAILED = "failed"
 
 
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import deque
-from heapq import heappop, heappush, nlargest
+from heapq import heappop, heappush, nlargest, nsmallest
 from math import inf, log, sqrt
 from random import Random
 from zlib import crc32
@@ -86,6 +86,14 @@
 FORGET = 0.1  # part of the way back to the usual payoff in a second without outcomes
 OVER_LEAST = 5.0  # least requests of quota that a tenant may use at once: chance must not look like excess
 
+# Of a long list a proxy keeps to the first in its own order, by rank, and no cost grows with the rest.
+RESERVE = 256  # servers of which all that was learned is kept, at least; one of many: twice its near ones
+RESERVE_SLACK = 64  # more than that before the last of them are given up: the list moves all the time
+RESERVE_KEEP = 0.9  # part of a larger number that is kept each second when load falls
+LOAD_SERVERS, LOAD_STEP = 2, 128  # of few proxies: servers kept for each request here; more at once at most
+GROUP = 8  # servers of a keyed request's group that are looked for beyond the kept ones
+FAR_SHIFT = 54  # bits of a rank below those that tell its bucket: some hundred servers in each
+
 # One of many meets a server too seldom to judge it soon, so all tell one another of failures. Three within
 # a second are no chance, and of two proxies: one that is itself cut off must not speak for all.
 BLAME_MS, BLAMES, BLAMERS = 1000.0, 3, 2
@@ -95,6 +103,7 @@
 BLAME_MOST = 60  # servers in one message of at most 256 bytes
 FAULTS = (Result.ERROR, Result.RESET, Result.CONNECT_FAILED)  # failures that are the server's, not its load's
 
+Traits = tuple[int, int, int, float | None, float]  # what ServerInfo tells beside name and state
 GIVEN_UP = (Result.TIMEOUT, Result.CANCELLED)  # we stopped waiting
 
 
@@ -156,6 +165,65 @@
         self.limit = min(self.limit, max(FLOOR_LIMIT / self.proxies, self.limit * factor))
 
 
+class Far:
+    """The servers beyond those that a proxy keeps to: what the list tells of them, and nothing learned. By
+    rank in buckets, so that none of this takes longer the more there are. Plain tuples, which the collector
+    has no work with, and names as keys: those that rank alike are still two."""
+
+    def __init__(self, me: int) -> None:
+        self.me, self.count = me, 0
+        self.buckets: dict[int, dict[str, Traits]] = {}
+        # Which buckets may hold servers of a cell or zone, as bits: hints, put right as they are followed.
+        self.cells: dict[int, int] = {}
+        self.zones: dict[int, int] = {}
+
+    def rank(self, name: str) -> tuple[int, str]:
+        return mix(self.me + 1, crc32(name.encode())), name
+
+    def put(self, name: str, traits: Traits) -> None:
+        number = self.rank(name)[0] >> FAR_SHIFT
+        bucket = self.buckets.setdefault(number, {})
+        self.count += name not in bucket
+        bucket[name] = traits
+        for hints, group in ((self.zones, traits[0]), (self.cells, traits[2])):
+            hints[group] = hints.get(group, 0) | 1 << number
+
+    def pop(self, name: str) -> Traits | None:
+        if not self.count:
+            return None
+        number = self.rank(name)[0] >> FAR_SHIFT
+        bucket = self.buckets.get(number, {})
+        traits = bucket.pop(name, None)
+        self.count -= traits is not None
+        if not bucket:
+            self.buckets.pop(number, None)
+        return traits
+
+    def first(self, most: int) -> list[str]:
+        found: list[str] = []
+        for number in sorted(self.buckets):
+            if len(found) >= most:
+                break
+            found += nsmallest(most - len(found), self.buckets[number], key=self.rank)
+        return found
+
+    def members(self, scope: Scope, ran: Attempt) -> list[str]:
+        """Some of the group that may see a keyed request again."""
+        if scope is Scope.ALL:
+            return self.first(GROUP)
+        hints, group, trait = (self.zones, ran.zone, 0) if scope is Scope.ZONE else (self.cells, ran.cell, 2)
+        found: list[str] = []
+        left = hints.get(group, 0)
+        while left and len(found) < GROUP:
+            number = (left & -left).bit_length() - 1
+            left &= left - 1
+            here = [name for name, t in self.buckets.get(number, {}).items() if t[trait] == group]
+            found += here
+            if not here:
+                hints[group] &= ~(1 << number)
+        return found
+
+
 class Attempt:
     def __init__(self, server: Server, sent: float) -> None:
         self.server, self.sent, self.open, self.maybe_ran = server, sent, True, True
@@ -247,8 +315,10 @@
         self.class_latency = [(0.0, 0.0)] * len(settings.classes)  # smoothed latency and deviation
         self.all_latency = 0.0
         self.crowd, self.crowd_samples = 0.0, 0  # smoothed latency as a part of the aim, all servers
-        self.servers: dict[str, Server] = {}
-        self.active: list[Server] = []
+        self.servers: dict[str, Server] = {}  # those of which what was learned is kept
+        self.active: list[Server] = []  # of these
+        self.far, self.edge = Far(settings.me), (0, "")  # all others, and the last rank that is not of them
+        self.reserve, self.listed = RESERVE, 0  # servers to keep; active ones of the whole list
         self.near: list[Server] = []  # those it sends to: all active, or as one of many its own few
         self.near_size, self.each = 0, 0.0  # how many it keeps to; least limit of one
         self.spoilt = 0.0  # smoothed share of outcomes that were spoilt, as one of many
@@ -266,7 +336,7 @@
         self.beating, self.second_at, self.beat_at = False, 0.0, 0.0
         self.ask_at: float | None = None
         self.ask_failures, self.moved_at = 0, -inf
-        self.by_hash: dict[int, Server] = {}  # as peers name them
+        self.by_hash: dict[int, list[Server]] = {}  # as peers name them: hardly ever two
         self.to_tell: list[Server] = []  # those seen to fail in this step
         self.out: list[Action] = []
 
@@ -542,9 +612,9 @@
         if not self.sparse or event.peer == self.settings.me or not event.data.startswith(BLAME_MARK):
             return
         for at in range(len(BLAME_MARK), len(event.data) - 3, 4):
-            server = self.by_hash.get(int.from_bytes(event.data[at : at + 4], "big"))
-            if server is not None:
-                self.blame(now, server, event.peer)
+            alike = self.by_hash.get(int.from_bytes(event.data[at : at + 4], "big"))
+            if alike is not None:
+                self.blame(now, alike[-1], event.peer)
 
     def outlier(self, server: Server) -> bool:
         return server.payoff <= (OUTLIER if self.sparse else 0.5) * self.usual_payoff()
@@ -580,6 +650,9 @@
             if not request.held or ran is None:
                 continue
             group = [s for s in self.active if same_group(request.spec.scope, s, ran)]
+            if self.far.count and len(group) < GROUP:
+                self.bring_near(now, self.far.members(request.spec.scope, ran))
+                group = [s for s in self.active if same_group(request.spec.scope, s, ran)]
             group = [s for s in group if s.room(now, self.each)]
             if group and now < request.last_call:
                 request.held = False
@@ -629,18 +702,20 @@
                 wait = SOON_MS
             self.ask_at = now + wait * self.rng.uniform(0.5, 1.0)
             return
-        if event.kind is not ListKind.SAVED:
+        if event.kind not in (ListKind.SAVED, ListKind.MORE):
             self.ask_failures, self.ask_at, self.moved_at = 0, None, -inf
-        if event.kind is not ListKind.CHANGES:
+        if event.kind not in (ListKind.CHANGES, ListKind.MORE):
             listed = {e.server for e in event.entries}
-            for name in [name for name in self.servers if name not in listed]:
-                self.servers[name].state = ServerState.GONE
-                self.by_hash.pop(self.servers.pop(name).hash, None)
+            for server in [s for name, s in self.servers.items() if name not in listed]:
+                self.drop(server, ServerState.GONE)
+            self.far = Far(self.settings.me)
         for entry in event.entries:
             self.on_entry(now, entry)
-        self.active = [s for s in self.servers.values() if s.state is ServerState.ACTIVE]
-        if not self.near:
-            self.allow = max(ALLOW_LEAST, START_LIMIT * len(self.active) / self.settings.proxies)
+            if len(self.servers) > self.reserve + RESERVE_SLACK:
+                self.trim()
+        self.find_active()
+        if not self.near or event.kind is ListKind.MORE:
+            self.allow = max(ALLOW_LEAST, START_LIMIT * self.listed / self.settings.proxies)
         self.choose_near(now)
 
     def on_moved(self, now: float) -> None:
@@ -653,26 +728,86 @@
         """Of many proxies each keeps to a few servers by hash, more with more traffic: few are soon known and
         have few connections each. Of any zone, and cold ones too: after a release they are most of what there
         is, and one zone's proxies alone would leave its servers half idle or carry too much."""
-        self.near = self.active
         if self.sparse:
             self.near_size = max(NEAR, int(2 * (self.allow + 1)))
+        self.keep_reserve(now)
+        self.near = self.active
+        if self.sparse:
             ranked = sorted(self.active, key=lambda s: s.rank)
             self.near = [s for s in ranked if s.rest_until <= now][: self.near_size] or ranked
             self.each = max(1.0, self.allow / max(len(self.near), 1))
 
+    def find_active(self) -> None:
+        self.active = [s for s in self.servers.values() if s.state is ServerState.ACTIVE]
+        self.listed = len(self.active) + self.far.count
+
+    def keep_reserve(self, now: float) -> None:
+        """Those kept are the first by rank: as some of them leave the list, or load grows, the next follow.
+        One of many keeps twice what it sends to, of which at most half rest. Few proxies send to all that
+        they keep, so they keep more the more requests they have: no request waits beside idle servers."""
+        need = 2 * self.near_size
+        if not self.sparse:
+            idle = sum(max(s.cold_until, s.rest_until) > now for s in self.active)
+            load = self.out_count + sum(len(e.queue) for e in self.endpoints)
+            need = min(LOAD_SERVERS * load + min(idle, 2 * RESERVE), len(self.active) + LOAD_STEP)
+        self.reserve = max(RESERVE, need, self.reserve)
+        if self.far.count and len(self.active) < self.reserve:
+            names = self.far.first(self.reserve - len(self.active))
+            self.bring_near(now, names)
+            self.edge = max(self.edge, self.far.rank(names[-1]))
+        if len(self.servers) > self.reserve + RESERVE_SLACK:
+            self.trim()
+            self.find_active()
+
+    def bring_near(self, now: float, names: list[str]) -> None:
+        for name in names:
+            if (traits := self.far.pop(name)) is not None:
+                self.take(now, ServerInfo(name, ServerState.ACTIVE, *traits))
+        self.find_active()
+
+    def trim(self) -> None:
+        """What was learned of the last by rank is forgotten, but for those in use."""
+        for server in [s for s in self.servers.values() if s.state is not ServerState.ACTIVE]:
+            self.drop(server, ServerState.DRAINING)
+        if len(self.servers) <= self.reserve:
+            return
+        ranked = sorted(self.servers.values(), key=lambda s: (s.rank, s.id))
+        last = (ranked[: self.reserve][-1].rank, ranked[: self.reserve][-1].id)
+        self.edge = min(self.edge, last) if self.far.count else last
+        for s in ranked[self.reserve :]:
+            if s.inflight == 0:
+                self.drop(s, ServerState.ACTIVE)
+                self.far.put(s.id, (s.zone, s.kind, s.cell, s.started, s.weight))
+
+    def drop(self, server: Server, state: ServerState) -> None:
+        del self.servers[server.id]
+        server.state = state
+        alike = self.by_hash[server.hash]
+        alike.remove(server)
+        if not alike:
+            del self.by_hash[server.hash]
+
     def on_entry(self, now: float, entry: ServerInfo) -> None:
+        server, name = self.servers.get(entry.server), entry.server
+        if server is not None and entry.state is ServerState.GONE:
+            self.drop(server, ServerState.GONE)
+        elif server is not None or (not self.far.count and entry.state is not ServerState.GONE):
+            self.take(now, entry)
+        elif entry.state is not ServerState.ACTIVE:
+            self.far.pop(name)
+        elif self.far.rank(name) > self.edge:
+            self.far.put(name, entry[2:])
+        else:
+            self.take(now, entry)
+
+    def take(self, now: float, entry: ServerInfo) -> None:
         server = self.servers.get(entry.server)
         if server is None:
-            if entry.state is ServerState.GONE:
-                return
             server = self.servers[entry.server] = Server(entry, self.settings.proxies)
             server.rank = affinity(self.settings.me + 1, server)
-            self.by_hash[server.hash] = server
+            self.by_hash.setdefault(server.hash, []).append(server)
         server.state, server.zone, server.kind, server.cell = entry.state, entry.zone, entry.kind, entry.cell
         server.weight = max(entry.weight, 0.01)
-        if entry.state is ServerState.GONE:
-            self.by_hash.pop(self.servers.pop(entry.server).hash, None)
-            return
         if entry.started != server.started:
             server.forget()
             server.started = entry.started
@@ -728,15 +863,16 @@
         self.outcomes = 1 + self.outcomes * PLAYS_KEEP
         self.turned_away *= PLAYS_KEEP
         self.find_part(seconds)
+        self.reserve = int(self.reserve * RESERVE_KEEP)
         warm: dict[int, list[Server]] = {}
         self.choose_near(now)
-        usual = self.usual_payoff()
+        usual, near = self.usual_payoff(), set(self.near)
         for server in self.active:
             server.plays *= PLAYS_KEEP
             if server.plays < 1:  # under light load a server once bad would otherwise never be drawn again
                 server.payoff += max(usual - server.payoff, 0.0) * (FORGET if self.sparse else 1)
             server.rate, server.answered = (server.rate + server.answered / seconds) / 2, 0
-            mine = not self.sparse or server in self.near
+            mine = not self.sparse or server in near
             if server.cold_until <= now and server.latency and mine:
                 warm.setdefault(server.kind, []).append(server)
         # The better half tells what a server of this kind carries: slow and resting ones hide it. Held for
@@ -772,7 +908,7 @@
         known = [self.warm_rate[server.kind]] if server.kind in self.warm_rate else self.warm_rate.values()
         rate = min(known, default=0.0) * part * min(COLD_HEAT, settings.fall_multiple / 2) / 1000
         # Nothing observed yet: one request a window, of all who keep to this server.
-        sharers = max(1.0, settings.proxies * self.near_size / max(len(self.active), 1))
+        sharers = max(1.0, settings.proxies * self.near_size / max(self.listed, 1))
         rate = max(rate, 1 / settings.fall_ms / (sharers if self.sparse else 1))
         burst = max(1.0, rate * settings.fall_ms / 4)
         server.tokens = min(burst, server.tokens + rate * (now - self.beat_at))
@@ -786,12 +922,12 @@
         room = [s for s in self.near if s.room(now, self.each)]
         if not room and self.sparse:  # nothing waits beside a ready server
             room = [s for s in self.active if s.cold_until <= now and s.room(now, self.each)]
-        # Limits below one, the part of many proxies, add up: one each at every server would be too many. But
-        # a few servers that hang must not use up the sum: a silent one takes nothing from the others.
-        silent = now - SILENT * (self.all_latency or self.endpoints[-1].aim)
         spare = self.refill_credit(now)
         if not self.sparse:
-            spare = sum(max(s.limit - s.inflight, -1.0 if s.silent_from > silent else 0.0) for s in self.near)
+            spare = self.spare(now)
+            if self.far.count and (not room or spare < sum(len(e.queue) for e in self.endpoints)):
+                self.choose_near(now)
+                room, spare = [s for s in self.near if s.room(now, self.each)], self.spare(now)
         while heads and room and spare > 0:
             spare -= 1
             # The one clear rule: the head that has waited the largest part of its aim goes first. So all
@@ -807,6 +943,12 @@
                 room.remove(server)
             heads = [(e, h) for e in self.endpoints if (h := e.head()) is not None]
 
+    def spare(self, now: float) -> float:
+        """Limits below one, the part of many proxies, add up: one each at every server would be too many. But
+        a few servers that hang must not use up the sum: a silent one takes nothing from the others."""
+        silent = now - SILENT * (self.all_latency or self.endpoints[-1].aim)
+        return sum(max(s.limit - s.inflight, -1.0 if s.silent_from > silent else 0.0) for s in self.near)
+
     def refill_credit(self, now: float) -> float:
         """The limit on all in flight holds on average, not at each moment: with a limit near one, two
         requests that come together must not wait for one another. Returns the sends left."""
@@ -874,7 +1016,11 @@
 
 def affinity(key: int, server: Server) -> int:
     """Rendezvous hash: the order of servers for a key is the same at every proxy, also as some leave."""
-    mixed = (key * 0x9E3779B97F4A7C15 ^ server.hash * 0xC2B2AE3D27D4EB4F) & 0xFFFFFFFFFFFFFFFF
+    return mix(key, server.hash)
+
+
+def mix(key: int, number: int) -> int:
+    mixed = (key * 0x9E3779B97F4A7C15 ^ number * 0xC2B2AE3D27D4EB4F) & 0xFFFFFFFFFFFFFFFF
     mixed = ((mixed ^ mixed >> 29) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
     return mixed ^ mixed >> 32
 
