Make pools for backends as they are used, and tell the module a long list in pieces

Cause: the proxy made a pool (an object, a list, a set) for each backend of the list, counted and swept all of them, and a new module, at the start or after a broken one, was handed all in one step.

Change: of a backend without connections only one plain tuple is kept, whose values are shared where they are alike; a pool is made as an attempt starts there and forgotten once it has no connection. Being ready looks at a number. A module that begins hears of 200 backends in each turn of the loop (SAVED, then MORE); what changes in between counts at once. Drained ones are no longer handed to a new module, which would send them nothing either.

The new tests fail on the code before (there is no such list of plain tuples there).

--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from math import inf
 
-from flintlatch.api import Result, ServerState
+from flintlatch.api import Result, ServerInfo, ServerState
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import Target
+from flintlatch.net.discovery import Known, Target, pack
 from flintlatch.net.http1 import Exchange, Response, unread
 
 IDLE_PART = 0.6  # part of the backend's idle limit after which we close first: a late reuse ends as a reset
@@ -53,17 +53,15 @@
 
 
 class Backend:
-    """One uid of the list. A new generation begins when its old connections must not be used again."""
+    """One uid of the list that has connections. A new generation begins when its old connections must not be
+    used again."""
 
-    def __init__(self, target: Target) -> None:
-        self.target, self.generation = target, 0
+    def __init__(self) -> None:
+        self.generation = 0
         self.heard = 0.0  # when it last answered
         self.idle: list[Connection] = []  # the most recently used last
         self.connecting: set[Connection] = set()
 
-    def active(self) -> bool:
-        return self.target.info.state is ServerState.ACTIVE
-
     def renew(self) -> None:
         self.generation += 1
         self.close_idle()
@@ -75,9 +73,10 @@
 
 
 class Connection(Exchange):
-    def __init__(self, pool: Backends, backend: Backend) -> None:
+    def __init__(self, pool: Backends, backend: Backend, address: tuple[str, int]) -> None:
         super().__init__()
         self.pool, self.backend, self.generation = pool, backend, backend.generation
+        self.address = address
         self.attempt: Attempt | None = None
         self.opener: asyncio.Task[None] | None = None
         self.idle_since = 0.0
@@ -135,30 +134,34 @@
         self.connect_timeout_s, self.idle_ms = connect_timeout_ms / 1000, conn_idle_ms * IDLE_PART
         self.most = most  # connections, those being opened included
         self.connections: set[Connection] = set()
-        self.backends: dict[str, Backend] = {}
+        self.targets: dict[str, Known] = {}  # all that are active
+        self.backends: dict[str, Backend] = {}  # those with connections, and some that had them a moment ago
         self.loop = asyncio.get_running_loop()
         self.sweeper = self.loop.call_later(self.idle_ms / 1000 / SWEEPS, self._sweep)
 
     def update(self, targets: tuple[Target, ...], whole: bool) -> None:
         if whole:
             listed = {target.uid for target in targets}
-            for uid in [uid for uid in self.backends if uid not in listed]:
-                self._retire(self.backends.pop(uid))
+            for uid in [uid for uid in self.targets if uid not in listed]:
+                self._remove(uid)
         for target in targets:
+            if target.info.state is not ServerState.ACTIVE:
+                self._remove(target.uid)
+                continue
+            old, new = self.targets.get(target.uid), pack(target)
+            self.targets[target.uid] = new
             backend = self.backends.get(target.uid)
-            if target.info.state is ServerState.GONE:
-                if backend is not None:
-                    self._retire(self.backends.pop(target.uid))
-            elif backend is None:
-                self.backends[target.uid] = Backend(target)
-            else:
-                old, backend.target = backend.target, target
-                moved = (old.host, old.port) != (target.host, target.port)
-                if moved or not backend.active():
+            if backend is not None and old is not None:
+                if old[:2] != new[:2]:
                     self._retire(backend)
-                elif old.info.started != target.info.started:
+                elif old[5] != new[5]:  # started anew
                     backend.renew()
 
+    def _remove(self, uid: str) -> None:
+        self.targets.pop(uid, None)
+        if uid in self.backends:
+            self._retire(self.backends.pop(uid))
+
     def _retire(self, backend: Backend) -> None:
         # A drain counts from the first byte sent: what still waits for its connection must not go out.
         backend.renew()
@@ -169,14 +172,20 @@
                 attempt.end(Result.CONNECT_FAILED)
 
     def active(self) -> int:
-        return sum(backend.active() for backend in self.backends.values())
+        return len(self.targets)
+
+    def infos(self, uids: list[str]) -> tuple[ServerInfo, ...]:
+        """Of those that are still active."""
+        known = ((uid, self.targets.get(uid)) for uid in uids)
+        return tuple(ServerInfo(uid, ServerState.ACTIVE, *k[2:]) for uid, k in known if k is not None)
 
     def start(self, attempt: Attempt) -> None:
-        backend = self.backends.get(attempt.uid)
-        if backend is None or not backend.active():
+        target = self.targets.get(attempt.uid)
+        if target is None:
             attempt.end(Result.CONNECT_FAILED)
             return
         self._time(attempt, min(attempt.deadline, attempt.write_by))
+        backend = self.backends.get(attempt.uid) or self.backends.setdefault(attempt.uid, Backend())
         kept = self._lend(backend)
         if kept is not None:
             kept.carry(attempt)
@@ -184,7 +193,7 @@
         if not self._make_room():
             attempt.end(Result.NO_ROOM)
             return
-        connection = Connection(self, backend)
+        connection = Connection(self, backend, target[:2])
         connection.attempt, attempt.connection = attempt, connection
         self.connections.add(connection)
         backend.connecting.add(connection)
@@ -205,10 +214,9 @@
         return None
 
     async def _open(self, connection: Connection) -> None:
-        target = connection.backend.target
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                await self.loop.create_connection(lambda: connection, target.host, target.port)
+                await self.loop.create_connection(lambda: connection, *connection.address)
         except OSError as error:  # refused, unreachable, out of descriptors, or too slow
             # The time may run out just as the connection comes up: the request is written then, and how it
             # ended is told by the connection.
@@ -261,7 +269,7 @@
 
     def put_back(self, connection: Connection) -> None:
         backend = connection.backend
-        if not connection.usable or connection.generation != backend.generation or not backend.active():
+        if not connection.usable or connection.generation != backend.generation:
             connection.close()
             return
         connection.idle_since = now_ms()
@@ -287,6 +295,8 @@
         for backend in self.backends.values():
             while backend.idle and backend.idle[0].idle_since < oldest:
                 backend.idle.pop(0).close()
+        used = {connection.backend for connection in self.connections}
+        self.backends = {uid: backend for uid, backend in self.backends.items() if backend in used}
 
     def close(self) -> None:
         self.sweeper.cancel()
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -4,9 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import lru_cache
 from ipaddress import ip_address
 from math import inf
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import orjson
 
@@ -25,6 +26,7 @@
 GRACE_PART = 0.4
 LEAST_MS = 200.0
 MAX_LIST = 1024 * 1024
+PIECE = 200  # entries read, or told the module, in one turn of the loop: about 2 ms
 
 
 class Target(NamedTuple):
@@ -34,6 +36,29 @@
     info: ServerInfo
 
 
+# What is kept of an active one: host, port, zone, kind, cell, started, weight. A plain tuple of plain values,
+# which the collector has no work with.
+Known = tuple[str, int, int, int, int, float | None, float]
+
+
+def pack(target: Target) -> Known:
+    started, weight = target.info[5:]
+    return (
+        target.host,
+        same(target.port),
+        *target.info[2:4],
+        same(target.info.cell),
+        same(started),
+        same(weight),
+    )
+
+
+@lru_cache(4096, typed=True)
+def same(value: Any) -> Any:
+    """One object for all that have the value: most servers share most of what the list tells of them."""
+    return value
+
+
 class Listing(NamedTuple):
     rev: int
     whole: bool
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -24,6 +24,7 @@
     Refuse,
     Result,
     Send,
+    ServerInfo,
     ServerList,
     ServiceMoved,
     SetTimer,
@@ -35,7 +36,7 @@
 from flintlatch.choice import Balancer
 from flintlatch.net.backends import Attempt, Backends
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import Discovery, Listing
+from flintlatch.net.discovery import PIECE, Discovery, Listing
 from flintlatch.net.http1 import Response
 from flintlatch.net.peers import Peers
 from flintlatch.settings import Wire
@@ -114,6 +115,7 @@
         self.known: dict[str, float] = {}  # ids of late, with the time at which they came, oldest first
         self.longest_ms = max(c.deadline_ms for c in settings.classes)
         self.news: list[ServerList] = []
+        self.untold: list[str] = []  # uids that the module has still to hear of, the next one last
         self.events: list[Event] = []
         self.ended: list[Held] = []  # to be forgotten once the module has been told of their end
         self.turn: asyncio.Handle | None = None
@@ -126,9 +128,22 @@
         # The pools hear of a drain here and now, before anything else of this turn can be written.
         self.backends.update(listing.targets, listing.whole)
         kind = kind or (ListKind.FULL if listing.whole else ListKind.CHANGES)
-        self.news.append(ServerList(kind, tuple(target.info for target in listing.targets)))
+        if kind is ListKind.SAVED:
+            self._tell_held()
+        else:
+            self.news.append(ServerList(kind, tuple(target.info for target in listing.targets)))
         self._wake()
 
+    def _tell_held(self) -> None:
+        """A module that has just begun hears of the whole list, of a long one by and by."""
+        self.untold = list(reversed(self.backends.targets))
+        self.news = [ServerList(ListKind.SAVED, self._next_held())]
+
+    def _next_held(self) -> tuple[ServerInfo, ...]:
+        piece = self.untold[-PIECE:][::-1]
+        del self.untold[-PIECE:]
+        return self.backends.infos(piece)
+
     def on_list_failure(self, reason: str) -> None:
         log(f"list: {reason}")
         self.news.append(ServerList(ListKind.FAILED))
@@ -216,6 +231,9 @@
         self.turn = None
         batch: list[Event] = [*self.news, *self.events]
         self.news, self.events = [], []
+        if self.untold:
+            self.news.append(ServerList(ListKind.MORE, self._next_held()))
+            self._wake()
         ended, self.ended = self.ended, []
         try:
             actions = self.balancer.step(now_ms(), batch)
@@ -238,8 +256,10 @@
         log(f"the decision module broke\n{traceback.format_exc()}")
         self.life += 1
         self.balancer = Balancer(self.settings, self.seed + self.life)
-        entries = tuple(backend.target.info for backend in self.backends.backends.values())
-        self.news, self.events, self.ended = [ServerList(ListKind.SAVED, entries)], [], []
+        self._tell_held()
+        self.events, self.ended = [], []
+        if self.turn is not None:
+            self.turn.cancel()
         # One that breaks at once, again and again, must leave time for answering.
         self.turn = self.loop.call_later(MODULE_REST_S, self._step)
         if self.discovery is not None and not self.settings.ask_for_list:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -140,11 +140,11 @@
             bad.reply(b'{"rev":2,"all":true,"targets":[{"uid":5}]}')
             client = await p.client()
             assert (await client.ask("/health/ready", "GET")).status == 200
-            assert set(p.engine.backends.backends) == {"s0", "s1"}
+            assert set(p.engine.backends.targets) == {"s0", "s1"}
             good = await p.registry.calls.get()
             reply(good, listing(3, target("s1", p.backends[1].address)))
             await p.registry.calls.get()  # the next watch: the news is in
-            assert set(p.engine.backends.backends) == {"s1"}
+            assert set(p.engine.backends.targets) == {"s1"}
             for number in range(5):
                 client.send(x_call_id=f"c{number}")
                 (await p.backends[1].calls.get()).reply()
--- /dev/null
+++ b/tests/test_long_list.py
@@ -0,0 +1,89 @@
+"""A list of very many backends on real sockets: what it may cost, and when what it says counts."""
+
+from __future__ import annotations
+
+import asyncio
+
+from flintlatch.api import ListKind, ServerInfo, ServerState, TimerFired
+from flintlatch.net.discovery import PIECE, Listing, Target
+from tests.loopback import Proxy, proxy, run
+
+
+def targets(n: int, first: int = 0, state: ServerState = ServerState.ACTIVE) -> tuple[Target, ...]:
+    """Nothing answers at these."""
+    return tuple(
+        Target(f"s-{i:08x}", f"127.1.{i // 250 % 250}.{i % 250}", 9, ServerInfo(f"s-{i:08x}", state))
+        for i in range(first, first + n)
+    )
+
+
+def names(p: Proxy) -> set[str]:
+    far = p.engine.balancer.far.buckets.values()
+    return {*(s.id for s in p.engine.balancer.active), *(name for bucket in far for name in bucket)}
+
+
+async def told(p: Proxy) -> int:
+    """Turns of the loop until the module has heard of all."""
+    turns = 0
+    while p.engine.turn is not None or p.engine.untold:
+        turns += 1
+        await asyncio.sleep(0)
+    return turns
+
+
+def test_a_long_list_makes_no_pools_and_is_told_the_module_in_pieces() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            p.engine.on_list(Listing(2, True, targets(10 * PIECE)), ListKind.SAVED)
+            assert not p.engine.backends.backends and p.engine.backends.active() == 10 * PIECE
+            assert await told(p) >= 10
+            assert p.engine.balancer.listed == 10 * PIECE and names(p) == set(p.engine.backends.targets)
+
+    run(test())
+
+
+def test_what_changes_while_it_is_told_counts_at_once() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            p.engine.on_list(Listing(2, True, targets(5 * PIECE)), ListKind.SAVED)
+            last = targets(1, 5 * PIECE - 1, ServerState.DRAINING)
+            p.engine.on_list(Listing(3, False, (*last, *targets(1, 9999))))
+            assert p.engine.backends.active() == 5 * PIECE
+            await told(p)
+            assert names(p) == set(p.engine.backends.targets) and last[0].uid not in names(p)
+
+    run(test())
+
+
+def test_a_new_module_hears_of_the_whole_long_list() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            p.engine.on_list(Listing(2, True, targets(5 * PIECE)), ListKind.SAVED)
+            await asyncio.sleep(0)
+            old = p.engine.balancer
+            p.engine.balancer.step = lambda now, events: [] if 1 / 0 else []  # type: ignore[method-assign]
+            p.engine._raise(TimerFired(0))  # while the old one is still being told
+            while p.engine.balancer is old:
+                await asyncio.sleep(0)
+            await told(p)
+            assert p.engine.balancer.listed == 5 * PIECE and names(p) == set(p.engine.backends.targets)
+
+    run(test())
+
+
+def test_pools_that_have_emptied_are_forgotten() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            (await p.backends[0].calls.get()).reply()
+            assert (await client.reply()).status == 200
+            p.engine.backends._sweep()
+            assert set(p.engine.backends.backends) == {"s0"}  # its connection is kept
+            p.engine.backends.backends["s0"].close_idle()
+            while p.engine.backends.connections:
+                await asyncio.sleep(0)
+            p.engine.backends._sweep()
+            assert not p.engine.backends.backends
+
+    run(test())
