Read a long saved list in pieces at the start, and not at all on SIGHUP

Cause: the configuration file was decoded whole. With a saved list of 150,000 the proxy stood at 190 MB for good before its first request, and SIGHUP would have read all of it again while requests wait.

Change: the file is read twice, once for all but the entries that come in pieces and, with the settings known, once for those, each of which goes into the pools' table at once. SIGHUP passes over the entries of a long list; those of a short one are checked as before.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -14,12 +14,13 @@
 import orjson
 import uvloop
 
-from flintlatch.api import ListKind, Settings
-from flintlatch.net.discovery import Discovery, Listing, read_listing
+from flintlatch.api import Settings
+from flintlatch.net.discovery import Discovery, Saved, read_saved
 from flintlatch.net.engine import Engine, log
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import split_address
 from flintlatch.net.peers import Peers, Tier
+from flintlatch.net.pieces import in_pieces, read, without
 from flintlatch.net.request import Reader
 from flintlatch.settings import (
     Malformed,
@@ -58,13 +59,14 @@
 class Config:
     """What the platform tells the proxy, checked; Malformed says what is wrong with it."""
 
-    def __init__(self, env: dict[str, str]) -> None:
+    def __init__(self, env: dict[str, str], again: bool = False) -> None:
+        """Read `again`, a long saved list is of no use any more and passed over."""
         path = env.get("LB_CONFIG")
         if not path:
             raise Malformed("LB_CONFIG is not set")
         try:
-            with open(path, "rb") as file:
-                raw = mapping(orjson.loads(file.read()), "configuration")
+            outline, is_long = without(in_pieces(read(path), "known"))
+            raw = mapping(outline, "configuration")
         except OSError as error:
             raise Malformed(f"{path}: {error.strerror}") from None
         except orjson.JSONDecodeError as error:
@@ -75,7 +77,8 @@
             self.settings: Settings = replace(read_settings(info), retry_after=True)
             self.settings.check()
             self.wire: Wire = read_wire(info)
-            self.known: Listing = read_listing(raw["known"], self.wire)
+            ahead = in_pieces(read(path), "known") if is_long and not again else ()
+            self.known: Saved = read_saved(raw["known"], self.wire, ahead)
             self.name = env.get("LB_NAME") or text(raw["name"], "name")
             self.listen = env.get("LB_LISTEN") or text(raw["listen"], "listen")
             self.discovery = env.get("LB_DISCOVERY") or text(raw["discovery"], "discovery")
@@ -98,6 +101,7 @@
     sockets -= min(SPARE_SOCKETS, sockets // 4)
     to_backends = int(sockets * BACKEND_PART)
     engine = Engine(config.settings, config.wire, config.seed, to_backends)
+    engine.take_saved(config.known)
     engine.discovery = Discovery(
         config.discovery,
         config.wire,
@@ -108,7 +112,6 @@
         memory_mb=config.memory_mb,
         held=engine.backends.targets,
     )
-    engine.on_list(config.known, ListKind.SAVED)
     if config.tier is not None:
         try:
             engine.peers = Peers(config.tier, engine.on_peer)
@@ -126,7 +129,7 @@
     """SIGHUP: the file has been replaced. Only where the list comes from may change while the proxy runs,
     and there the file counts, since the environment can't change."""
     try:
-        config = Config({name: value for name, value in env.items() if name != "LB_DISCOVERY"})
+        config = Config({name: value for name, value in env.items() if name != "LB_DISCOVERY"}, True)
     except Malformed as error:
         log(f"reload: {error}; going on as before")
         return
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from ipaddress import ip_address
+from itertools import chain
 from marshal import dumps, loads
 from math import inf
 from typing import Any, NamedTuple
@@ -111,6 +112,36 @@
         raise Malformed(f"list: {error}") from None
 
 
+class Saved(NamedTuple):
+    """A list that the proxy had before it started, its active backends in their order."""
+
+    rev: int
+    uids: list[str]
+    table: Table
+
+
+def read_saved(raw: object, wire: Wire, ahead: Iterable[list[Any]]) -> Saved:
+    """`ahead` has the entries that are not in `raw`; of a long list no more than some are there at a time."""
+    try:
+        data, saved = mapping(raw, "list"), Table()
+        uids: list[str] = []
+        for entries in chain(ahead, [listing(data["targets"], "targets")]):
+            for entry in entries:
+                target = read_target(entry, wire)
+                held = saved.of(target.uid)
+                if target.info.state is ServerState.ACTIVE:
+                    if target.uid not in held:
+                        uids.append(target.uid)
+                    held[target.uid] = pack(target)
+                else:
+                    held.pop(target.uid, None)
+        return Saved(whole(data["rev"], "rev"), uids, saved)
+    except KeyError as error:
+        raise Malformed(f"list: {error.args[0]} is missing") from None
+    except ValueError as error:
+        raise Malformed(f"list: {error}") from None
+
+
 class Call(Exchange):
     """A kept connection to the list service; each answer is awaited."""
 
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -36,7 +36,7 @@
 from flintlatch.choice import Balancer
 from flintlatch.net.backends import Attempt, Backends
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import PIECE, Discovery, Listing
+from flintlatch.net.discovery import PIECE, Discovery, Listing, Saved
 from flintlatch.net.http1 import Response
 from flintlatch.net.peers import Peers
 from flintlatch.settings import Wire
@@ -134,6 +134,12 @@
             self.news.append(ServerList(kind, tuple(target.info for target in listing.targets)))
         self._wake()
 
+    def take_saved(self, saved: Saved) -> None:
+        """Before all else; the table is the pools' from now on."""
+        self.backends.targets = saved.table
+        self._tell_held(saved.uids)
+        self._wake()
+
     def _tell_held(self, uids: list[str]) -> None:
         """A module that has just begun hears of the whole list, of a long one by and by."""
         self.untold = uids[::-1]
--- a/flintlatch/net/pieces.py
+++ b/flintlatch/net/pieces.py
@@ -9,12 +9,30 @@
 import orjson
 
 PIECE_BYTES = 16 * 1024  # of the text, decoded at once: some 100 entries
+PART_BYTES = 64 * 1024  # of a file, read at once
 HEAD_MOST = 1024 * 1024  # within which the array begins
 NEXT_CUTS = 16  # cuts tried one by one, where entries hold objects; then each time twice as much
 ARRAY = re.compile(rb'"targets"\s*:\s*\[')
 CUT = re.compile(rb"\}\s*,")
 
 
+def read(path: str) -> Iterator[bytes]:
+    with open(path, "rb") as file:
+        while part := file.read(PART_BYTES):
+            yield part
+
+
+def without(reading: Generator[list[Any], None, Any]) -> tuple[Any, bool]:
+    """All but the entries that come in pieces, and whether there are such."""
+    some = False
+    while True:
+        try:
+            next(reading)
+        except StopIteration as end:
+            return end.value, some
+        some = True
+
+
 def consumed(parts: list[bytes | bytearray]) -> Iterator[bytes | bytearray]:
     """Each is freed once it has been read."""
     parts.reverse()
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import json
+import tracemalloc
 from ipaddress import ip_address
 from itertools import count
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -13,12 +15,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from flintlatch.__main__ import Config
 from flintlatch.api import ServerState
 from flintlatch.net import pieces
 from flintlatch.net.discovery import LONG_BYTES, PIECE, Discovery, Listing, check_ip, pack, unpack
 from flintlatch.net.pieces import consumed, in_pieces
 from flintlatch.settings import Malformed, Wire
-from tests.loopback import Proxy, listing, proxy, run, target
+from tests.loopback import Proxy, configuration, listing, proxy, run, target
 
 TEXT = st.text(alphabet='ab{}[],:"\\ \n', max_size=8)
 JSON = st.recursive(
@@ -229,3 +232,31 @@
         for mb in (16.0, 192.0)
     ]
     assert most[0] == 2**20 > LONG_BYTES and most[1] > 150_000 * 170
+
+
+def test_a_long_saved_list_is_read_in_pieces_and_its_order_and_drains_count(tmp_path: Path) -> None:
+    known = listing(7, *entries(900), *entries(1, 5, "leaving"), *entries(1, 900))
+    config = configuration("127.0.0.1:9") | {"known": known}
+    for indent in (None, 2):
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config, indent=indent))
+        saved = Config({"LB_CONFIG": str(path)}).known
+        assert saved.rev == 7 and len(saved.table) == 900 and saved.table.get("s-00000005") is None
+        assert saved.uids == [e["uid"] for e in entries(901)]  # what has left meanwhile is passed over
+    assert len(Config({"LB_CONFIG": str(path)}, again=True).known.uids) < 200
+    bad = config | {"known": listing(7, *entries(900), {"uid": "odd"}, *entries(900, 900))}
+    path.write_text(json.dumps(bad))
+    with pytest.raises(Malformed, match="endpoint"):
+        Config({"LB_CONFIG": str(path)})
+
+
+def test_the_objects_of_a_long_saved_list_are_few_at_a_time(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration("127.0.0.1:9") | {"known": listing(7, *entries(5000))}))
+    Config({"LB_CONFIG": str(path)})  # what is made once only
+    tracemalloc.start()
+    config = Config({"LB_CONFIG": str(path)})
+    held, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(config.known.table) == 5000
+    assert held / 5000 < 350 and peak - held < 2_000_000  # decoded at once it took 10.9 million
