--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -4,15 +4,21 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
+from contextlib import suppress
 from ipaddress import ip_address
+from itertools import chain
+from marshal import dumps, loads
 from math import inf
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import orjson
 
 from flintlatch.api import ServerInfo, ServerState
 from flintlatch.net.http1 import Exchange, Response, split_address
+from flintlatch.net.pieces import consumed, in_pieces
+from flintlatch.net.table import Table
 from flintlatch.settings import Malformed, Wire, choice, listing, mapping, number, text, whole
 
 STATES = {"active": ServerState.ACTIVE, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
@@ -30,11 +36,17 @@
 # may use up so much of the drain grace each. The agent is on this machine, and slow only when that is.
 GRACE_PART = 0.4
 LEAST_MS = 200.0
-# A list may be as long as the memory bears: one of 20,000 entries, 3.3 MB, that replaces another takes 29
-# times its bytes for a moment, beside 27 MB for the program. What is longer would end the program.
-LIST_PART = 1 / 32
+# A list may be as long as the memory bears: one that replaces another takes under three times its bytes for a
+# moment, beside the program. What is longer would end the program.
+LIST_PART = 0.3
 PROGRAM_MB = 32.0
 LEAST_LIST = 1024 * 1024
+LONG_BYTES = 64 * 1024  # a list longer than this is read in pieces, and so is any where so many are held
+LONG_HELD = 1000
+# Bytes of a list read in one turn of the loop; for each as many its service may take the time of its silence
+# once more.
+MIB = 1024 * 1024
+PIECE = 100  # entries told the module in one turn of the loop: 1 or 2 ms
 
 
 class Target(NamedTuple):
@@ -44,6 +56,19 @@
     info: ServerInfo
 
 
+Parts = list[bytes | bytearray]  # of an answer's body
+Known = bytes  # what is kept of an active one: small, with its values in it, and nothing for the collector
+
+
+def pack(target: Target) -> Known:
+    return dumps((target.host.encode(), target.port, *target.info[2:]), 2)
+
+
+def unpack(uid: str, known: Known) -> Target:
+    host, port, *traits = loads(known)
+    return Target(uid, host.decode(), port, ServerInfo(uid, ServerState.ACTIVE, *traits))
+
+
 class Listing(NamedTuple):
     rev: int
     whole: bool
@@ -95,17 +120,64 @@
         raise Malformed(f"list: {error}") from None
 
 
+class Saved(NamedTuple):
+    """A list that the proxy had before it started, its active backends in their order."""
+
+    rev: int
+    uids: list[str]
+    table: Table
+
+
+def read_saved(raw: object, wire: Wire, ahead: Iterable[list[Any]]) -> Saved:
+    """`ahead` has the entries that are not in `raw`; of a long list no more than some are there at a time."""
+    try:
+        data, saved = mapping(raw, "list"), Table()
+        uids: list[str] = []
+        for entries in chain(ahead, [listing(data["targets"], "targets")]):
+            for entry in entries:
+                target = read_target(entry, wire)
+                held = saved.of(target.uid)
+                if target.info.state is ServerState.ACTIVE:
+                    if target.uid not in held:
+                        uids.append(target.uid)
+                    held[target.uid] = pack(target)
+                else:
+                    held.pop(target.uid, None)
+        return Saved(whole(data["rev"], "rev"), uids, saved)
+    except KeyError as error:
+        raise Malformed(f"list: {error.args[0]} is missing") from None
+    except ValueError as error:
+        raise Malformed(f"list: {error}") from None
+
+
 class Call(Exchange):
     """A kept connection to the list service; each answer is awaited."""
 
     def __init__(self, most: int) -> None:
         super().__init__(most)
         self.answer: asyncio.Future[Response] | None = None
+        self.on_more: Callable[[], None] = lambda: None  # much of a long answer has come
 
     async def get(self, request: bytes) -> Response:
         self.answer = asyncio.get_running_loop().create_future()
         self.ask(request)
-        return await self.answer
+        try:
+            return await self.answer
+        finally:
+            self.answer = None
+
+    def data_received(self, data: bytes) -> None:
+        before = self._size if self.waiting else 0
+        super().data_received(data)
+        if self.waiting and self.transport is not None and self._size // MIB > before // MIB:
+            self.on_more()
+            # Else the loop would read on for as long as bytes come, and serve nobody.
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._read_on)
+
+    def _read_on(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def on_response(self, response: Response) -> None:
         if self.answer is not None and not self.answer.done():
@@ -128,16 +200,18 @@
         on_failure: Callable[[str], None],
         pushed: bool = False,
         memory_mb: float = PROGRAM_MB,
+        held: Table | None = None,
     ) -> None:
+        self.most = max(int((memory_mb - PROGRAM_MB) * 1024 * 1024 * LIST_PART), LEAST_LIST)
+        self.held = Table() if held is None else held  # what `on_list` has made of the news
         most = max(wire.drain_grace_ms * GRACE_PART, LEAST_MS) if pushed else inf
         self.wait_ms, self.silent_ms = int(min(WAIT_MS, most)), min(SILENT_MS, most)
         self.call_ms = min(CALL_MS, most)
-        self.most = max(int((memory_mb - PROGRAM_MB) * 1024 * 1024 * LIST_PART), LEAST_LIST)
         self.address, self.wire, self.rev = address, wire, rev
         self.on_list, self.on_failure = on_list, on_failure
         self.call: Call | None = None  # that of the watch that stands
         self.task: asyncio.Task[None] | None = None
-        self.asked: dict[asyncio.Task[Listing], Call] = {}  # calls that open a watch, the latest last
+        self.asked: dict[asyncio.Task[Parts], Call] = {}  # calls that open a watch, the latest last
         self.places = 1 if pushed else PLACES
 
     def watch(self) -> None:
@@ -177,22 +251,22 @@
 
     async def _run(self) -> None:
         try:
-            news = await self._open()
+            parts = await self._open()
             while True:
-                self.on_list(news)
-                self.rev = news.rev
-                async with asyncio.timeout((self.wait_ms + self.silent_ms) / 1000):
+                self.rev = await self._take(parts)
+                async with asyncio.timeout((self.wait_ms + self.silent_ms) / 1000) as limit:
                     if self.call is None or not self.call.usable:
                         self._hang_up()
                         self.call = Call(self.most)  # known before it comes up: it may be hung up just then
-                    news = await self._fetch(self.call, self.wait_ms)
+                    self.call.on_more = self._longer(limit)
+                    parts = await self._fetch(self.call, self.wait_ms)
         except Exception as error:
             # Whatever went wrong here, the module must hear of it: with a watch that has died unseen it
             # would believe its list for good and send to what drains.
             self._hang_up()
             self.on_failure(f"{type(error).__name__}: {error}")
 
-    async def _open(self) -> Listing:
+    async def _open(self) -> Parts:
         """The first answer to any call that opens a watch, those of earlier tries that are still out too."""
         latest = self._answered()
         if latest is None:
@@ -202,7 +276,9 @@
             latest.add_done_callback(self._on_asked)
             self._give_up(self.places)
         try:
-            async with asyncio.timeout(self.call_ms / 1000):
+            async with asyncio.timeout(self.call_ms / 1000) as limit:
+                for call in self.asked.values():
+                    call.on_more = self._longer(limit)
                 while not latest.done() and self._answered() is None:
                     await asyncio.wait(self.asked, return_when=asyncio.FIRST_COMPLETED)
         except TimeoutError:
@@ -211,14 +287,24 @@
             raise
         answered = self._answered() or latest
         self.call = self.asked.pop(answered)
-        news = answered.result()  # or why it failed
+        parts = answered.result()  # or why it failed
         self._give_up(0)
-        return news
+        return parts
+
+    def _longer(self, limit: asyncio.Timeout) -> Callable[[], None]:
+        """Much of a long answer has come: the service has not fallen silent."""
+        loop = asyncio.get_running_loop()
 
-    def _answered(self) -> asyncio.Task[Listing] | None:
+        def more() -> None:
+            with suppress(RuntimeError):  # it is not waited for any more
+                limit.reschedule(loop.time() + self.silent_ms / 1000)
+
+        return more
+
+    def _answered(self) -> asyncio.Task[Parts] | None:
         return next((t for t in self.asked if t.done() and not t.cancelled() and not t.exception()), None)
 
-    def _on_asked(self, task: asyncio.Task[Listing]) -> None:
+    def _on_asked(self, task: asyncio.Task[Parts]) -> None:
         """One of the calls that are out has ended, maybe after this proxy had stopped waiting for it."""
         if task.cancelled() or task not in self.asked:
             return
@@ -227,7 +313,7 @@
         elif self.task is None or self.task.done() or task is not next(reversed(self.asked)):
             self.asked.pop(task).close()  # that the latest one failed is told where it is waited for
 
-    async def _fetch(self, call: Call, wait: int) -> Listing:
+    async def _fetch(self, call: Call, wait: int) -> Parts:
         if call.transport is None:
             await self._connect(call)
         path = "/registry/instances"
@@ -236,7 +322,81 @@
         response = await call.get(f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode())
         if response.status != 200:
             raise Malformed(f"status {response.status}")
+        return [response.body, *response.rest]
+
+    async def _take(self, parts: Parts) -> int:
+        """Tell of the list; its version."""
         try:
-            return read_listing(orjson.loads(response.body), self.wire)
+            if sum(map(len, parts)) > LONG_BYTES:
+                return await self._take_long(parts)
+            news = read_listing(orjson.loads(b"".join(parts)), self.wire)
+            if news.whole and len(self.held) > LONG_HELD:
+                return await self._take_long(parts)
         except orjson.JSONDecodeError as error:
             raise Malformed(f"not JSON: {error}") from None
+        self.on_list(news)
+        return news.rev
+
+    async def _take_long(self, parts: Parts) -> int:
+        """Requests are served between its pieces. It counts once all of it has been read, but what drains
+        counts at once. A whole one is told as what differs from the list held: that keeps all else from
+        being looked at again, and what it does not name goes last."""
+        news: deque[dict[str, Known]] = deque()
+        unseen = Table()
+        for at, part in enumerate(self.held.parts):
+            unseen.parts[at] = dict(part)
+            if at % 8 == 0:
+                await asyncio.sleep(0)
+
+        def look(entries: list[Any]) -> None:
+            targets = [read_target(entry, self.wire) for entry in entries]
+            drains = [t for t in targets if t.info.state is not ServerState.ACTIVE]
+            if drains := [t for t in drains if self.held.get(t.uid) is not None]:
+                self.on_list(Listing(self.rev or 0, False, tuple(drains)))
+            changed: dict[str, Known] = {}
+            for target in targets:
+                unseen.of(target.uid).pop(target.uid, None)
+                if target.info.state is ServerState.ACTIVE:
+                    known = pack(target)
+                    if self.held.get(target.uid) != known:
+                        changed[target.uid] = known
+            if changed:
+                news.append(changed)
+
+        reading = in_pieces(consumed(parts))
+        try:
+            while True:
+                try:
+                    look(next(reading))
+                except StopIteration as end:
+                    rest = mapping(end.value, "list")
+                    break
+                await asyncio.sleep(0)
+            last = listing(rest["targets"], "targets")
+            for at in range(0, len(last), PIECE):
+                look(last[at : at + PIECE])
+                await asyncio.sleep(0)
+            rev, is_whole = whole(rest["rev"], "rev"), rest["all"] is True
+        except KeyError as error:
+            raise Malformed(f"list: {error.args[0]} is missing") from None
+        except orjson.JSONDecodeError:
+            raise
+        except ValueError as error:
+            raise Malformed(f"list: {error}") from None
+        while news:
+            self.on_list(Listing(rev, False, tuple(unpack(*pair) for pair in news.popleft().items())))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)  # in the turn before, the module heard of the last ones
+        while unseen.parts and is_whole:
+            left = list(unseen.parts[-1])[:PIECE]
+            for uid in left:
+                del unseen.parts[-1][uid]
+            if not left:
+                unseen.parts.pop()
+                continue
+            gone = (Target(uid, "", 0, ServerInfo(uid, ServerState.GONE)) for uid in left)
+            self.on_list(Listing(rev, False, tuple(gone)))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        self.on_list(Listing(rev, False, ()))  # that it is read is news in any case
+        return rev
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -12,6 +12,7 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+PART = MAX_BODY  # bytes from which a body goes on in another part: no copy of a long one is ever made
 Headers = list[tuple[bytes, bytes]]  # names in lower case
 
 MAX_INTERIM = 8  # 1xx answers ahead of the real one: more are no answer but a way to keep a client waiting
@@ -74,6 +75,7 @@
     status: int
     headers: Headers
     body: bytes
+    rest: tuple[bytes | bytearray, ...] = ()  # of a long body, whose parts are not joined
 
     def header(self, name: bytes) -> bytes | None:
         return next((value for key, value in self.headers if key == name), None)
@@ -112,8 +114,8 @@
         assert self.transport is not None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
-        self._body = bytearray()
-        self._size, self._interim = 0, 0
+        self._parts = [bytearray()]
+        self._size, self._interim, self._length = 0, 0, 0
         self._head_done, self._spoilt, self._done, self._keep = False, False, False, False
         self.waiting, self.unsent = True, False
         self.transport.write(request)
@@ -163,7 +165,8 @@
         self.waiting, self.usable = False, self._keep and not self.unsent
         if not self.usable and self.transport is not None:
             self.transport.abort()
-        self.on_response(Response(self._status, self._headers, bytes(self._body)))
+        (first, *rest), self._parts = self._parts, []
+        self.on_response(Response(self._status, self._headers, bytes(first), tuple(rest)))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._break()
@@ -203,8 +206,11 @@
 
     def on_body(self, body: bytes) -> None:
         if not self._done and not self._spoilt:
-            self._body += body
-            self._spoilt = len(self._body) > self.max_body
+            if len(self._parts[-1]) >= PART:
+                self._parts.append(bytearray())
+            self._parts[-1] += body
+            self._length += len(body)
+            self._spoilt = self._length > self.max_body
 
     def on_message_complete(self) -> None:
         if self._done or self._spoilt:
--- a/scale/fleet/proxy.py
+++ b/scale/fleet/proxy.py
@@ -166,7 +166,7 @@
         self.account.counts["module exceptions"] += 1
         self.life += 1
         self.balancer = Balancer(self.settings, self.seed * 100_003 + self.number + self.life)
-        entries = tuple(backend.target.info for backend in self.backends.backends.values())
+        entries = self.backends.infos(list(self.backends.targets))
         self.news, self.events, self.requests = [ServerList(ListKind.SAVED, entries)], [], {}
         self.waking = True
         self.loop.call_later(MODULE_REST_S, self.turn, self.life)
