Let a beat look at cold servers only, and hold a server's values in slots

Cause: forty times a second each beat walked all servers a proxy sends to, several hundred of a long list and each a large dictionary, to find the cold ones, which are seldom any.

Change: those that are cold are noted as the near ones are chosen; Server has slots.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -111,6 +111,11 @@
 class Server:
     """What this proxy knows of one server."""
 
+    __slots__ = ("proxies", "id", "hash", "started", "state", "zone", "kind", "cell", "inflight", "rank",
+                 "weight", "limit", "peak", "samples", "latency", "floor", "heard_count", "crowd", "payoff",
+                 "plays", "strikes", "rest_until", "rest_ms", "answered", "rate", "tokens", "blames",
+                 "told_at", "silent_from", "cold_until")  # fmt: skip
+
     def __init__(self, info: ServerInfo, proxies: int) -> None:
         self.proxies = proxies
         self.id, self.hash = info.server, crc32(info.server.encode())
@@ -320,6 +325,7 @@
         self.active: list[Server] = []  # of these
         self.far, self.edge = Far(settings.me), (0, "")  # all others, and the last rank that is not of them
         self.reserve, self.listed = RESERVE, 0  # servers to keep; active ones of the whole list
+        self.cold: list[Server] = []  # those of `near` that were cold as it was chosen
         self.near: list[Server] = []  # those it sends to: all active, or as one of many its own few
         self.near_size, self.each = 0, 0.0  # how many it keeps to; least limit of one
         self.spoilt = 0.0  # smoothed share of outcomes that were spoilt, as one of many
@@ -737,6 +743,7 @@
             ranked = sorted(self.active, key=lambda s: s.rank)
             self.near = [s for s in ranked if s.rest_until <= now][: self.near_size] or ranked
             self.each = max(1.0, self.allow / max(len(self.near), 1))
+        self.cold = [s for s in self.near if s.cold_until > now]
 
     def find_active(self) -> None:
         self.active = [s for s in self.servers.values() if s.state is ServerState.ACTIVE]
@@ -821,7 +828,7 @@
     def on_beat(self, now: float) -> None:
         self.out.append(SetTimer(BEAT_MS, 0))
         self.expire(now)
-        for server in [s for s in self.near if s.cold_until > now]:
+        for server in [s for s in self.cold if s.cold_until > now]:
             self.refill(now, server)
         self.beat_at = now
         if self.ask_at is not None and now >= self.ask_at:
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -25,7 +25,7 @@
     ServerState,
     TimerFired,
 )
-from flintlatch.choice import Balancer, mix
+from flintlatch.choice import Balancer, Server, mix
 from tests.support import Driver, settings
 
 MANY = {"proxies": 3400, "me": 17, "zones": 2}
@@ -178,3 +178,18 @@
         driver = Driver(settings(proxies=proxies), *servers(256))
         driver.beats(2000)
         assert [s.id for s in driver.balancer.active] == names and not driver.balancer.far.count
+
+
+def test_a_beat_looks_at_cold_servers_only() -> None:
+    driver = Driver(settings(cold_ms=60_000.0, **MANY), *servers(300), *servers(1, 300, started=900.0))
+    looked = [0]
+
+    class Near(list[Server]):
+        def __iter__(self) -> Iterator[Server]:
+            looked[0] += 1
+            return super().__iter__()
+
+    driver.beats(2_000)
+    driver.balancer.near = Near(driver.balancer.near)
+    driver.beats(900)
+    assert looked[0] == 0
