Give a server's slots the time of its next draw, and part the table of backends the same way each time

The table of backends was parted by `hash`, which differs from process to process, so that a module that takes over after a broken one heard of its servers in another order each time: parted by crc32 now.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -117,7 +117,7 @@
     __slots__ = ("proxies", "id", "hash", "started", "state", "zone", "kind", "cell", "inflight", "rank",
                  "weight", "limit", "peak", "samples", "latency", "floor", "heard_count", "crowd", "payoff",
                  "plays", "strikes", "rest_until", "rest_ms", "answered", "rate", "tokens", "blames",
-                 "told_at", "silent_from", "cold_until")  # fmt: skip
+                 "told_at", "silent_from", "cold_until", "draw_at")  # fmt: skip
 
     def __init__(self, info: ServerInfo, proxies: int) -> None:
         self.proxies = proxies
--- a/flintlatch/net/table.py
+++ b/flintlatch/net/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from zlib import crc32
 
 PARTS = 256
 
@@ -15,10 +16,10 @@
         self.parts: list[dict[str, bytes]] = [{} for _ in range(PARTS)]
 
     def of(self, uid: str) -> dict[str, bytes]:
-        return self.parts[hash(uid) % PARTS]
+        return self.parts[crc32(uid.encode()) % PARTS]
 
     def get(self, uid: str) -> bytes | None:
-        return self.parts[hash(uid) % PARTS].get(uid)
+        return self.parts[crc32(uid.encode()) % PARTS].get(uid)
 
     def __iter__(self) -> Iterator[str]:
         for part in self.parts:
