--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -85,6 +85,7 @@
             held = [*(s.id for s in balancer.active), *(n for b in balancer.far.buckets.values() for n in b)]
             assert sorted(held) == sorted(active)
             assert [s.rank for s in balancer.near] == by_rank(active, me)[: balancer.near_size]
+            assert sorted(s.rank for s in balancer.active) == by_rank(active, me)[: len(balancer.active)]
             assert len(balancer.active) >= min(len(active), 16) and len(balancer.servers) <= 18
             assert all(s in balancer.by_hash[s.hash] for s in balancer.active)
 
@@ -193,3 +194,14 @@
     driver.balancer.near = Near(driver.balancer.near)
     driver.beats(900)
     assert looked[0] == 0
+
+
+def test_one_that_arrives_ahead_of_those_moved_up_is_kept() -> None:
+    ranked = sorted(servers(60), key=lambda s: mix(MANY["me"] + 1, crc32(s.server.encode())))
+    with patch.multiple(choice, RESERVE=16, RESERVE_SLACK=2):
+        driver = Driver(settings(**MANY), *ranked[:20], *ranked[30:])
+        gone = tuple(s._replace(state=ServerState.GONE) for s in ranked[:10])
+        driver.step(ServerList(ListKind.CHANGES, gone))
+        driver.step(ServerList(ListKind.CHANGES, tuple(ranked[20:22])))
+        kept = {s.id for s in driver.balancer.active}
+    assert kept == {s.server for s in [*ranked[10:22], *ranked[30 : 30 + len(kept) - 12]]}
