--- a/scale/process.py
+++ b/scale/process.py
@@ -67,7 +67,8 @@
             time.sleep(AFTER_S)
             change_gap, _ = probe.mark()
     except Refused as refused:
-        note(f"{name}: a list of {len(answers[0]):,} bytes in one answer was not taken: {refused}")
+        size = max(map(len, answers))
+        note(f"{name}: a list in {len(answers)} answers of up to {size:,} bytes was not taken: {refused}")
         return values
     found = (resident, take - rest * 1000 * SETTLE_S, rest * 1000, spent / CHANGES, gap, change_gap,
              (asked - rest) * REST_S * 1e6 / max(asks, 1))  # fmt: skip
--- a/scale/slopes.py
+++ b/scale/slopes.py
@@ -65,21 +65,28 @@
 def summary(
     series: Series, axis: str, sizes: tuple[int, ...], runs: list[dict[int, Values]]
 ) -> dict[str, Any]:
-    """The raw values of one series and its line, through the sizes at which each repeat has a value."""
+    """The raw values of one series and its line. The line leaves out a size without any value, and then a
+    repeat that lacks one; `fit_repeats` tells how many are left."""
     values = {size: [run[size][series.name] for run in runs] for size in sizes}
-    whole = [size for size in sizes if None not in values[size]]
+    some = [size for size in sizes if any(value is not None for value in values[size])]
+    rows = [[run[size][series.name] for size in some] for run in runs]
+    whole = [[value for value in row if value is not None] for row in rows if None not in row]
     entry: dict[str, Any] = {"name": series.name, "unit": series.unit, "per": axis, "says": series.says}
     entry["values"] = {str(size): values[size] for size in sizes}
-    entry["fit"] = None
-    if len(whole) > 1:
-        repeats = [[float(run[size][series.name] or 0) for size in whole] for run in runs]
-        entry["fit"] = fit(whole, repeats)._asdict()
+    entry["fit"] = fit(some, whole)._asdict() if len(some) > 1 and whole else None
+    entry["fit_repeats"] = len(whole) if entry["fit"] else 0
     return entry
 
 
 def middle(values: list[float | None]) -> float | None:
     known = sorted(value for value in values if value is not None)
-    return known[len(known) // 2] if len(known) == len(values) else None
+    return known[len(known) // 2] if known else None
+
+
+def cell(values: list[float | None]) -> str:
+    missing = sum(value is None for value in values)
+    few = f" ({len(values) - missing})" if 0 < missing < len(values) else ""
+    return report.figure(middle(values)) + few
 
 
 def as_text(data: dict[str, Any]) -> str:
@@ -91,7 +98,8 @@
         f"{data['arguments']['repeats']} repeats, one of {data['arguments']['proxies']:,} proxies.",
         "A size's column holds the middle value. slope and intercept: least squares over all values; min,",
         "max and sd: of the slopes of single repeats; off: the largest distance of a middle value from the",
-        "line, as a part of the largest middle value. Times are processor time, except the gaps.",
+        "line, as a part of the largest middle value. Times are processor time, except the gaps. A number in",
+        "brackets: so many repeats have a value there; the line is through the repeats that lack none.",
     ]
     for axis in AXES:
         rows = [one for one in data["series"] if one["per"] == axis]
@@ -103,7 +111,7 @@
         cells = []
         for row in rows:
             middles = [middle(row["values"][size]) for size in sizes]
-            line = [row["name"], row["unit"], *map(report.figure, middles)]
+            line = [row["name"], row["unit"], *(cell(row["values"][size]) for size in sizes)]
             if row["fit"] is None:
                 line += ["-"] * 7
             else:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -15,7 +15,8 @@
 from scale.cli import main
 from scale.fit import fit
 from scale.load import verdict
-from scale.measures import AXES, MEASURES
+from scale.measures import AXES, MEASURES, Series, Values
+from scale.slopes import cell, summary
 
 TINY = ["--sizes", "10,20", "--repeats", "2", "--quiet"]
 TINY += [part for axis in AXES if axis != "backend" for part in ("--counts", f"{axis}=5,7")]
@@ -44,6 +45,16 @@
         fit([5, 5], [[1.0, 1.0]])
 
 
+def test_a_line_leaves_out_what_could_not_be_measured() -> None:
+    runs: list[dict[int, Values]] = [
+        {size: {"x": value} for size, value in zip((1, 2, 3, 4), row, strict=True)}
+        for row in ((2.0, 4.0, None, 8.0), (2.0, 4.0, None, 8.0), (9.0, 9.0, None, None))
+    ]
+    found = summary(Series("x", "ms", "a thing"), "backend", (1, 2, 3, 4), runs)
+    assert found["fit"]["slope"] == pytest.approx(2.0) and found["fit_repeats"] == 2
+    assert [cell(found["values"][size]) for size in "1234"] == ["2", "4", "-", "8 (2)"]
+
+
 def test_every_measurement_has_its_values_in_the_json(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
