Tell hollow proxies how much memory they have, and let their connections pause

Since lists are read in pieces a proxy reads one as long as its memory bears, told by the configuration, and compares it with what its pools hold: hollow proxies told neither, so that after a restart none of 150,000 backends' lists was read (93 of 93 changes missed).

--- a/scale/fleet/proxy.py
+++ b/scale/fleet/proxy.py
@@ -58,6 +58,9 @@
     return f"10.255.{region}.1:80"
 
 
+MEMORY_MB = 128.0  # of each proxy at the target size: a list as long as that bears is read
+
+
 class Open:
     """A request that is not forgotten yet."""
 
@@ -106,7 +109,14 @@
         self.requests: dict[str, Open] = {}
         self.waking = False
         self.discovery = Discovery(
-            address(self.region), self.wire, listing.rev, self.on_list, self.on_failure, self.pushed
+            address(self.region),
+            self.wire,
+            listing.rev,
+            self.on_list,
+            self.on_failure,
+            self.pushed,
+            memory_mb=MEMORY_MB,
+            held=self.backends.targets,
         )
         self._take(listing, ListKind.SAVED)
         if self.pushed:
--- a/scale/fleet/service.py
+++ b/scale/fleet/service.py
@@ -150,6 +150,12 @@
             loop = self.session.loop
             loop.call_later(WAY_S, self.session.feed, bytes(data), context=self.session.world)
 
+    def pause_reading(self) -> None:
+        """Pieces come by the clock, whoever reads; a pause of a turn of the loop changes nothing."""
+
+    def resume_reading(self) -> None:
+        """See `pause_reading`."""
+
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         """A write leaves whole."""
 
