Share the tests' waiting and resetting, and put two comments of discovery.py right

Two test files had the same `until`, and the same closing by a reset: both are in tests/loopback.py now, and the tests call them with the same assertions.

--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -41,8 +41,8 @@
 LIST_PART = 0.3
 PROGRAM_MB = 32.0
 LEAST_LIST = 1024 * 1024
-LONG_BYTES = 64 * 1024  # a list longer than this is read in pieces, and so is any where so many are held
-LONG_HELD = 1000
+LONG_BYTES = 64 * 1024  # a list longer than this is read in pieces
+LONG_HELD = 1000  # and so is any whole list where more than so many are held
 # Bytes of a list read in one turn of the loop; for each as many its service may take the time of its silence
 # once more.
 MIB = 1024 * 1024
@@ -84,10 +84,8 @@
 
 def check_ip(host: str) -> None:
     """ValueError unless it is an IP address: a name would have to be looked up, and there is no DNS."""
-    try:
-        socket.inet_pton(
-            socket.AF_INET, host
-        )  # what nearly all are, told by the C library in a tenth of the time
+    try:  # what nearly all are, told by the C library in a tenth of the time
+        socket.inet_pton(socket.AF_INET, host)
     except (OSError, ValueError):
         ip_address(host)
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,8 +5,9 @@
 import asyncio
 import json
 import socket
+import struct
 import tempfile
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any, NamedTuple, cast
@@ -29,6 +30,18 @@
     uvloop.run(asyncio.wait_for(test, LIMIT_S))
 
 
+async def until(true: Callable[[], object]) -> None:
+    while not true():
+        await asyncio.sleep(0.001)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes it so that the other side gets a reset and no end."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Reply(NamedTuple):
     status: int
     headers: dict[str, str]
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -4,20 +4,12 @@
 
 import asyncio
 import socket
-import struct
-from collections.abc import Callable
 
 import pytest
 
 from flintlatch.net import frontend as frontend_module
 from flintlatch.net.http1 import hung_up, unread
-from tests.loopback import PURCHASE, Call, Client, Proxy, proxy, request, run
-
-
-async def until(true: Callable[[], object]) -> None:
-    while not true():
-        await asyncio.sleep(0.001)
-
+from tests.loopback import PURCHASE, Call, Client, Proxy, proxy, request, reset, run, until
 
 OK = b"HTTP/1.1 200 OK\r\n"
 
@@ -28,13 +20,6 @@
     return next(peer.calls.get_nowait() for peer in p.backends if not peer.calls.empty())
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Closes it so that the other side gets a reset and no end."""
-    linger = struct.pack("ii", 1, 0)
-    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
-
-
 def test_what_comes_after_the_shutdown_is_not_sent_on_and_takes_no_answer_with_it() -> None:
     async def test() -> None:
         async with proxy() as p:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
 import select
 import socket
-import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -35,7 +33,7 @@
 from flintlatch.net import frontend as frontend_module
 from flintlatch.net.clock import now_ms
 from flintlatch.net.http1 import hung_up
-from tests.loopback import Client, Gate, Proxy, proxy, request, run
+from tests.loopback import Client, Gate, Proxy, proxy, request, reset, run, until
 
 Step = Callable[[list[Any]], list[Action]]
 
@@ -72,11 +70,6 @@
     return [e for batch in Script.batches for e in batch if isinstance(e, kind)]
 
 
-async def until(true: Callable[[], object]) -> None:
-    while not true():
-        await asyncio.sleep(0.001)
-
-
 def test_the_saved_list_comes_first(script: type[Script]) -> None:
     async def test() -> None:
         async with proxy(backends=2):
@@ -377,10 +370,9 @@
     inside.transport.pause_reading()
     if how == "half-close":
         client.writer.write_eof()
+    elif how == "reset":
+        reset(client.writer)
     else:
-        if how == "reset":
-            linger = struct.pack("ii", 1, 0)
-            client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         client.writer.transport.abort()
     await until(lambda: hung_up(inside.transport))
     assert not events(ClientGone)
