--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -18,7 +18,7 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.net.discovery import Target
 from flintlatch.net.http1 import Response, unread
-from tests.loopback import Gate, Peer, run
+from tests.loopback import Gate, Peer, reset, run
 
 HEAD = b"POST /answer HTTP/1.1\r\nhost: b\r\n"
 
@@ -236,6 +236,26 @@
     run(test())
 
 
+@pytest.mark.parametrize("first", [OK, OK + b"connection: close\r\n", b"HTTP/1.0 200 OK\r\n"])
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_an_answer_without_a_length_is_whole_at_its_end_and_only_there(first: bytes, how: str) -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.start()
+            call = await peer.calls.get()
+            call.writer.write(first + b"\r\nto the ")
+            call.writer.write(b"end")
+            reset(call.writer) if how == "reset" else call.writer.close()
+            result, response = await attempts.outcomes.get()
+            if how == "reset":
+                assert result is Result.RESET
+            else:
+                assert result is Result.OK and response is not None and response.body == b"to the end"
+            assert await attempts.served(peer) == 2  # its connection is not used again
+
+    run(test())
+
+
 @pytest.mark.parametrize("more", [OK + b"content-length: 4\r\n\r\ncopy", b"\x00noise", b"HTTP/1.1 2"])
 def test_what_comes_right_behind_an_answer_never_meets_the_next_request(more: bytes) -> None:
     # The answer and what follows may come in two reads; lent out between them, the connection would serve
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -79,9 +79,10 @@
                 self.step(me, Arrival(f"r{next(self.ids)}", 0, 0, None, self.now + 2500.0))
                 following = self.now + self.random.expovariate(total)
 
-    def join(self, cold: int) -> None:
-        """Cold servers that all learn of at once."""
-        new = [ServerInfo(f"10.9.9.{n}:80", started=self.now) for n in range(cold)]
+    def join(self, cold: int, clock_off_ms: float = 0.0) -> None:
+        """Cold servers that all learn of at once, by a clock that may be off from that of the proxies."""
+        started = self.now + clock_off_ms
+        new = [ServerInfo(f"10.9.9.{n}:80", started=started) for n in range(cold)]
         self.sent, self.born, self.servers = {s.server: [] for s in new}, self.now, [*self.servers, *new]
         for me in self.modules:
             self.tell(me, ListKind.CHANGES, new)
@@ -137,3 +138,18 @@
         world.start(me)
     world.run(3_000, 0.9)
     assert 0 < world.worst() <= 1
+
+
+HOUR_MS = 3_600_000.0
+
+
+@pytest.mark.parametrize("clock_off_ms", [-HOUR_MS, -20_000.0, 20_000.0, HOUR_MS])
+@pytest.mark.parametrize("proxies", [3, 30])
+def test_cold_servers_hold_whatever_the_clock_says_that_dated_their_start(
+    proxies: int, clock_off_ms: float
+) -> None:
+    world = Fleet(proxies, 8, 6.0, harmonic(proxies))
+    world.run(3_000, 0.7)
+    world.join(12, clock_off_ms)
+    world.run(3_000, 0.9)
+    assert 0 < world.worst() <= 1
