Let no log write end or hold the program: a failed one is counted and left out

Cause: a log line was printed to standard error by a call that raises or waits. With a disk without room (ENOSPC) or a reader that has gone (EPIPE) the line «listens on» ended the start. Later, the line on a failed list call was written before the module was told: the exception ended the watch for good, unseen, so that no drain was heard any more. A pipe that nobody reads held the whole process. Change: net/telemetry.py writes to the descriptor, no more than a pipe with room takes at once, and counts what it could not write; the engine tells the module before it logs. The tests that looked at sys.stderr look at descriptor 2 now (capfd for capsys), with the same assertions.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -17,12 +17,13 @@
 
 from flintlatch.api import Settings
 from flintlatch.net.discovery import Discovery, Saved, check_ip, read_saved
-from flintlatch.net.engine import Engine, log
+from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import split_address
 from flintlatch.net.peers import Peers, Tier
 from flintlatch.net.pieces import in_pieces, read, without
 from flintlatch.net.request import Reader
+from flintlatch.net.telemetry import log
 from flintlatch.settings import (
     Malformed,
     Message,
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import traceback
 from collections.abc import Callable
 from typing import NamedTuple
@@ -39,39 +38,17 @@
 from flintlatch.net.discovery import PIECE, Discovery, Listing, Saved
 from flintlatch.net.http1 import Response
 from flintlatch.net.peers import Peers
+from flintlatch.net.telemetry import log
 from flintlatch.settings import Wire
 
 MODULE_REST_S = 0.1  # s from the end of a broken module to the first step of the next
 KNOWN_S = 4.0  # s at least that an id is remembered after its request came: no client waits for longer
 KNOWN_MOST = 20_000  # ids remembered at most
-LOG_LINES = 20  # lines a second: whatever floods the log must not keep the proxy from its work
 # What a client needs to read a body; all else is between the proxy and the backend.
 PASSED_ON = (b"content-type", b"content-encoding", b"content-language")
 PROBE_HEAD = b"GET /stats HTTP/1.1\r\nhost: backend.local\r\n"
 
 
-class Logger:
-    """Lines to standard error, so many a second; how many more there were is told in the next one."""
-
-    def __init__(self) -> None:
-        self.second, self.lines, self.dropped = 0, 0, 0
-
-    def __call__(self, line: str) -> None:
-        second = int(now_ms() / 1000)
-        if second != self.second:
-            self.second, self.lines = second, 0
-        self.lines += 1
-        if self.lines > LOG_LINES:
-            self.dropped += 1
-            return
-        if self.dropped:
-            line, self.dropped = f"{line} ({self.dropped} lines before it left out)", 0
-        print(f"flintlatch: {line}", file=sys.stderr, flush=True)
-
-
-log = Logger()
-
-
 class Answer(NamedTuple):
     status: int
     headers: bytes = b""  # whole lines
@@ -153,9 +130,9 @@
         return self.backends.infos(piece)
 
     def on_list_failure(self, reason: str) -> None:
-        log(f"list: {reason}")
         self.news.append(ServerList(ListKind.FAILED))
         self._wake()
+        log(f"list: {reason}")
 
     def on_peer(self, peer: int, data: bytes) -> None:
         self._raise(PeerSaid(peer, data))
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -11,9 +11,10 @@
 import httptools
 
 from flintlatch.net.clock import now_ms
-from flintlatch.net.engine import Answer, Engine, log
+from flintlatch.net.engine import Answer, Engine
 from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, all_hung_up, hung_up, split_address, unread
 from flintlatch.net.request import Bad, Message, Reader, check_framing
+from flintlatch.net.telemetry import log
 
 BACKLOG = 512
 ACCEPT_AT_ONCE = 16  # connections a turn: requests on open ones must not wait for a flood of new ones
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -31,6 +31,7 @@
 )
 from flintlatch.net import engine as engine_module
 from flintlatch.net import frontend as frontend_module
+from flintlatch.net import telemetry as telemetry_module
 from flintlatch.net.clock import now_ms
 from flintlatch.net.http1 import hung_up
 from tests.loopback import Client, Gate, Proxy, proxy, request, reset, run, until
@@ -58,7 +59,7 @@
     Script.act, Script.batches, Script.lives = staticmethod(lambda events: []), [], 0
     monkeypatch.setattr(engine_module, "Balancer", Script)
     # So many lines a second are for one program: what tests before this one wrote must not use them up.
-    monkeypatch.setattr(engine_module.log, "lines", 0)
+    monkeypatch.setattr(telemetry_module.log, "lines", 0)
     return Script
 
 
@@ -493,7 +494,7 @@
 
 
 def test_a_broken_module_is_shown_and_fails_its_requests_once(
-    script: type[Script], capsys: pytest.CaptureFixture[str]
+    script: type[Script], capfd: pytest.CaptureFixture[str]
 ) -> None:
     def act(batch: list[Any]) -> list[Action]:
         arrivals = [e.request for e in batch if isinstance(e, Arrival)]
@@ -518,7 +519,7 @@
             assert script.lives == 2
 
     run(test())
-    shown = capsys.readouterr().err
+    shown = capfd.readouterr().err
     assert shown.count("the decision module broke") == 1 and "in the module" in shown
 
 
@@ -602,7 +603,7 @@
 
 
 def test_one_action_that_cannot_be_carried_out_leaves_the_others(
-    script: type[Script], monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+    script: type[Script], monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
     script.act = each(Arrival, lambda e: [Probe("s0"), Fail(e.request)])
 
@@ -612,17 +613,17 @@
             assert (await (await p.client()).ask()).status == 504
 
     run(test())
-    assert "was not carried out" in capsys.readouterr().err
+    assert "was not carried out" in capfd.readouterr().err
 
 
-def test_a_flood_of_log_lines_is_cut_and_told(capsys: pytest.CaptureFixture[str]) -> None:
-    log = engine_module.Logger()
+def test_a_flood_of_log_lines_is_cut_and_told(capfd: pytest.CaptureFixture[str]) -> None:
+    log = telemetry_module.Logger()
     for number in range(1000):
         log(f"line {number}")
     log.second -= 1  # the next second
     log("later")
-    lines = capsys.readouterr().err.splitlines()
-    assert len(lines) < 3 * engine_module.LOG_LINES and "left out" in lines[-1]
+    lines = capfd.readouterr().err.splitlines()
+    assert len(lines) < 3 * telemetry_module.LOG_LINES and "left out" in lines[-1]
 
 
 @pytest.mark.parametrize(
