Ask one place whether something may be sent, refused or closed, and count what breaks a rule

Change: flintlatch/rules.py says what may be done; the module asks it as it decides, the pools ask it before the first byte of each attempt, the frontend before each close. What only a broken decision explains is not sent, counted as a violation and logged with the last events of that request (net/telemetry.py). Attempts, answers with their reason, denials, closes with their reason and lists are counted; the counters are logged each minute if they have changed, at the end, and on SIGUSR1. Where a denial has several causes the backend's drain now goes before the client's leaving.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -23,7 +23,7 @@
 from flintlatch.net.peers import Peers, Tier
 from flintlatch.net.pieces import in_pieces, read, without
 from flintlatch.net.request import Reader
-from flintlatch.net.telemetry import log
+from flintlatch.net.telemetry import Telemetry, log
 from flintlatch.settings import (
     Malformed,
     Message,
@@ -45,6 +45,7 @@
 # With few descriptors a quarter of them, but no fewer than these: a running program has 16 of its own, peers
 # and discovery among them, and one more for each connection that is accepted or opened as another closes.
 LEAST_SPARE = 24
+REPORT_S = 60.0  # s between reports of the counters; SIGUSR1 asks for one at once
 LEAST_SOCKETS = 32  # with fewer hardly anybody could be served
 # Of the other descriptors: clients hold a third of all for requests at most, each in flight once or waiting
 # here, and beside them there are kept and silent ones.
@@ -152,6 +153,12 @@
     engine.move_list(config.discovery)
 
 
+async def report_on(telemetry: Telemetry) -> None:
+    while True:
+        await asyncio.sleep(REPORT_S)
+        telemetry.report()
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     # A bug in the code of one connection ends that connection, not the program.
@@ -164,6 +171,8 @@
     engine, frontend = start(config)
     # In the same turn as the start: no client can have seen the proxy ready before.
     loop.add_signal_handler(signal.SIGHUP, reload, engine, dict(os.environ))
+    loop.add_signal_handler(signal.SIGUSR1, engine.telemetry.report)
+    reporting = loop.create_task(report_on(engine.telemetry))
     log(f"{config.name} listens on {frontend.address}")
     # What start-up made stays for good, and so does what the module's first step makes of the saved list: the
     # collector need not walk it in the middle of a request.
@@ -177,13 +186,16 @@
     await asyncio.sleep(ACCEPT_ON_S)
     await frontend.finish(min(max(c.deadline_ms for c in config.settings.classes) / 1000, LONGEST_S))
     engine.close()
+    reporting.cancel()
+    engine.telemetry.report()
     # The loop's handlers go with the loop: a signal in the last moment must not end the program in its way.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
     log("stopped")
 
 
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop has its handler: the file is read below
+    for early in (signal.SIGHUP, signal.SIGUSR1):  # until the loop has its handlers: the file is read below
+        signal.signal(early, signal.SIG_IGN)
     gc.disable()  # until all is made: next to nothing of it is to be thrown away
     try:
         config = Config(dict(os.environ))
--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -213,6 +213,19 @@
 # Actions
 
 
+class EndReason(Enum):
+    """Why the module ends a request itself."""
+
+    UNTOLD = "untold"
+    SHED = "shed"  # for load, as it arrived
+    NO_TIME = "no_time"  # too little was left for an answer in time
+    HELD_TOO_LONG = "held_too_long"  # no backend had room for it in its time
+    RETRY_BUDGET = "retry_budget"  # this proxy has made as many retries as it may
+    MAY_NOT_FOLLOW = "may_not_follow"  # its class, its time or its number of attempts allows no other
+    NOT_SENT = "not_sent"  # what it was to be sent for is over
+    REQUEST_AT_FAULT = "request_at_fault"  # its backend said so
+
+
 class Send(NamedTuple):
     request: str
     server: str
@@ -225,12 +238,14 @@
 
     request: str
     retry_after_ms: float
+    reason: EndReason = EndReason.UNTOLD
 
 
 class Fail(NamedTuple):
     """Final: no promise about the effect."""
 
     request: str
+    reason: EndReason = EndReason.UNTOLD
 
 
 class Cancel(NamedTuple):
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -18,10 +18,11 @@
 from zlib import crc32
 
 from flintlatch.api import (
-    NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, Event, Fail, ListKind, Log, Outcome, PeerSaid,
-    Refuse, RequestClass, Result, Scope, Send, ServerInfo, ServerList, ServerState, ServiceMoved, SetTimer,
-    Settings, StreamStarted, Tell, TimerFired, Watch,
+    NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, EndReason, Event, Fail, ListKind, Log, Outcome,
+    PeerSaid, Refuse, RequestClass, Result, Scope, Send, ServerInfo, ServerList, ServerState, ServiceMoved,
+    SetTimer, Settings, StreamStarted, Tell, TimerFired, Watch,
 )  # fmt: skip
+from flintlatch.rules import first_run, repeat_denial, same_group
 
 BEAT_MS = 25.0  # ms between housekeeping rounds: expiry and recovery need no finer grain
 WINDOW_OF_AIM = 0.5  # part of the aim: the detector's window, so a verdict comes while it still helps
@@ -253,10 +254,6 @@
         self.open = 0  # attempts without an outcome
         self.held = self.over = self.stream = False
 
-    def first_run(self) -> Attempt | None:
-        """The earliest attempt that may have run: what the class allows counts from it."""
-        return next((a for a in self.attempts if a.maybe_ran), None)
-
 
 class Endpoint:
     """Classes with one aim: a first-come buffer and its overload detector."""
@@ -429,7 +426,7 @@
                 self.refuse(request)
                 return
         if min(event.give_up, request.useful) <= now + 2 * self.settings.tick_ms:
-            self.end(request)  # its time is over as it comes: no later batch could answer it
+            self.end(request, EndReason.NO_TIME)  # as it comes: no later batch could answer it
         else:
             self.hold(request, False)
 
@@ -635,13 +632,17 @@
 
     def again(self, now: float, request: Request, result: Result) -> None:
         """An attempt failed and none is out: another one, a refusal or a failure."""
-        spec, ran = request.spec, request.first_run()
-        if result in (Result.NOT_SENT, Result.INVALID) or not self.may_follow(now, request):
-            self.end(request)
+        spec, ran = request.spec, first_run(request.attempts)
+        if result is Result.NOT_SENT:
+            self.end(request, EndReason.NOT_SENT)
+        elif result is Result.INVALID:
+            self.end(request, EndReason.REQUEST_AT_FAULT)
+        elif not self.may_follow(now, request):
+            self.end(request, EndReason.MAY_NOT_FOLLOW)
         elif ran is None:
             self.hold(request, True)
         elif self.retries < 1:
-            self.end(request)
+            self.end(request, EndReason.RETRY_BUDGET)
         elif spec.effect is Effect.SAFE:
             self.retries -= 1
             self.hold(request, True)
@@ -657,7 +658,7 @@
         """Only the group that drops a keyed request's repeats may see it again, as soon as it has room."""
         waiting, self.bound = self.bound, []
         for request in waiting:
-            ran = request.first_run()
+            ran = first_run(request.attempts)
             if not request.held or ran is None:
                 continue
             group = [s for s in self.active if same_group(request.spec.scope, s, ran)]
@@ -671,16 +672,17 @@
             else:
                 self.bound.append(request)
 
-    def end(self, request: Request) -> None:
+    def end(self, request: Request, reason: EndReason) -> None:
         """The final answer for a request that will not be sent again."""
-        self.out.append(Fail(request.id))
+        self.out.append(Fail(request.id, reason))
         self.close(request)
 
     def refuse(self, request: Request) -> None:
         """Low levels are let in again over the endpoint's release: that is when to come back."""
         wait = min(request.endpoint.release * request.endpoint.aim, self.settings.max_retry_after_ms)
         self.turned_away = min(self.turned_away + AWAY_EACH, AWAY_MOST)
-        self.out.append(Refuse(request.id, wait if self.settings.retry_after else 0.0))
+        wait = wait if self.settings.retry_after else 0.0
+        self.out.append(Refuse(request.id, wait, EndReason.SHED))
         self.close(request)
 
     def close(self, request: Request) -> None:
@@ -856,19 +858,16 @@
         """A held request has reached the end of its use; a late answer, if worth something, is only for
         times when there are servers to spare: under overload it costs a request that is still in time."""
         if request.endpoint.excess(now) > 1 or now >= request.last_call:
-            self.end(request)
+            self.end(request, EndReason.HELD_TOO_LONG)
         else:
             self.at(min(now + 2 * BEAT_MS, request.last_call), request)
 
     def may_follow(self, now: float, request: Request) -> bool:
         """Whether another attempt is allowed and of use if those so far may have run."""
-        spec, ran = request.spec, request.first_run()
+        spec = request.spec
         usual = min(self.class_latency[request.cls][0], spec.aim_ms / 2)
-        if len(request.attempts) >= self.settings.most_attempts or now + usual > request.useful:
-            return False
-        if ran is None or spec.effect is Effect.SAFE:
-            return True
-        return spec.effect is Effect.KEYED and now + 2 * self.settings.tick_ms < ran.sent + spec.window_ms
+        denial = repeat_denial(self.settings, spec, request.attempts, now + 2 * self.settings.tick_ms)
+        return denial is None and now + usual <= request.useful
 
     def every_second(self, now: float) -> None:
         seconds, self.second_at = (now - self.second_at) / 1000, now
@@ -1012,7 +1011,7 @@
         return server.payoff + BONUS * sqrt(log(1 + self.outcomes) / (1 + server.plays))
 
     def send(self, now: float, request: Request, server: Server) -> None:
-        ran, spec = request.first_run(), request.spec
+        ran, spec = first_run(request.attempts), request.spec
         request.attempts.append(Attempt(server, now))
         request.open += 1
         self.out_count += 1
@@ -1042,9 +1041,3 @@
     mixed = (key * 0x9E3779B97F4A7C15 ^ number * 0xC2B2AE3D27D4EB4F) & 0xFFFFFFFFFFFFFFFF
     mixed = ((mixed ^ mixed >> 29) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
     return mixed ^ mixed >> 32
-
-
-def same_group(scope: Scope, server: Server, ran: Attempt) -> bool:
-    if scope is Scope.ALL:
-        return True
-    return server.zone == ran.zone if scope is Scope.ZONE else server.cell == ran.cell
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -7,16 +7,20 @@
 from collections.abc import Callable
 from math import inf
 
-from flintlatch.api import Result, ServerInfo, ServerState
+from flintlatch.api import NEVER_RAN, Result, ServerInfo, ServerState
 from flintlatch.net.clock import now_ms
 from flintlatch.net.discovery import Target, pack, unpack
 from flintlatch.net.http1 import Exchange, Response, unread
 from flintlatch.net.table import Table
+from flintlatch.rules import Denial
 
 IDLE_PART = 0.6  # part of the backend's idle limit after which we close first: a late reuse ends as a reset
 # A second answer, noise, or the server's close may come right behind an answer: lent out later than this, the
 # connection shows it. The pool needs a connection or two more for that, not a handshake each time.
 REST_MS = 10.0
+
+# How an attempt ends that may not be written. That this proxy was too slow for it is not the backend's doing.
+DENIED = {Denial.BACKEND_LEFT: Result.CONNECT_FAILED, Denial.TIME_OVER: Result.NO_ROOM}
 OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 SWEEPS = 20  # looks at idle connections within that limit
 
@@ -32,16 +36,22 @@
         limit_ms: float,
         done: Callable[[Attempt, Result, Response | None], None],
         within_ms: float = inf,
-        gone: Callable[[], bool] = lambda: False,  # looks whether the client has left by now
+        denial: Callable[[], Denial | None] = lambda: None,  # whether its request may still be sent
     ) -> None:
-        self.uid, self.head, self.body, self.done, self.gone = uid, head, body, done, gone
-        self.started = now_ms()
+        self.uid, self.head, self.body, self.done, self.denial = uid, head, body, done, denial
+        self.started = self.sent = now_ms()
+        self.zone = self.cell = 0  # where its backend stood as it began
+        self.maybe_ran = True
         self.deadline = self.started + limit_ms
         self.write_by = self.started + within_ms
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
 
+    @property
+    def open(self) -> bool:
+        return not self.ended
+
     def over(self) -> bool:
         """Too late to write it."""
         return now_ms() >= min(self.deadline, self.write_by)
@@ -49,7 +59,7 @@
     def end(self, result: Result, response: Response | None = None) -> None:
         if self.ended:
             return
-        self.ended = True
+        self.ended, self.maybe_ran = True, result not in NEVER_RAN
         if self.timer is not None:
             self.timer.cancel()
         if self.connection is not None:
@@ -90,7 +100,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.backend.connecting.discard(self)
         if self.attempt is not None:
-            self.pool.end_if_late(self.attempt)
+            self.pool.end_if_denied(self.attempt)
         super().connection_made(transport)
         if self.attempt is not None:
             self.carry(self.attempt)
@@ -98,7 +108,7 @@
             self.close()
 
     def carry(self, attempt: Attempt) -> None:
-        self.attempt, attempt.connection = attempt, self
+        self.attempt, attempt.connection, attempt.sent = attempt, self, now_ms()
         budget = max(1, int(attempt.deadline - now_ms()))
         self.ask(b"%bx-budget-ms: %d\r\n\r\n%b" % (attempt.head, budget, attempt.body))
 
@@ -190,11 +200,12 @@
 
     def start(self, attempt: Attempt) -> None:
         known = self.targets.get(attempt.uid)
-        if known is None:
-            attempt.end(Result.CONNECT_FAILED)
-            return
-        if attempt.over():  # this proxy was too slow, which is not the backend's doing
-            attempt.end(Result.NO_ROOM)
+        if known is not None:
+            info = unpack(attempt.uid, known).info
+            attempt.zone, attempt.cell = info.zone, info.cell
+        denial = self._denial(attempt)
+        if denial is not None or known is None:
+            attempt.end(DENIED.get(denial or Denial.BACKEND_LEFT, Result.NOT_SENT))
             return
         self._time(attempt, min(attempt.deadline, attempt.write_by))
         backend = self.backends.get(attempt.uid) or self.backends.setdefault(attempt.uid, Backend())
@@ -249,13 +260,22 @@
         if attempt.connection is not None and attempt.connection.never_ran():
             self._give_up(attempt, Result.NOT_SENT)
 
-    def end_if_late(self, attempt: Attempt) -> None:
+    def _denial(self, attempt: Attempt) -> Denial | None:
+        """Asked before the first byte of each attempt; None if it may be written."""
+        if self.targets.get(attempt.uid) is None:
+            return Denial.BACKEND_LEFT
+        if attempt.over():
+            return Denial.TIME_OVER
+        return attempt.denial()
+
+    def end_if_denied(self, attempt: Attempt) -> None:
         """It has waited for its connection, and that for its turn of the loop, which may not have come yet to
         its timer or to the end of its client's connection."""
-        if attempt.over():
+        denial = self._denial(attempt)
+        if denial is Denial.TIME_OVER:
             self._limit(attempt)
-        elif attempt.gone():
-            self._give_up(attempt, Result.NOT_SENT)
+        elif denial is not None:
+            self._give_up(attempt, DENIED.get(denial, Result.NOT_SENT))
 
     def _time(self, attempt: Attempt, until: float) -> None:
         seconds = max(until - now_ms(), 0.0) / 1000
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -38,7 +38,8 @@
 from flintlatch.net.discovery import PIECE, Discovery, Listing, Saved
 from flintlatch.net.http1 import Response
 from flintlatch.net.peers import Peers
-from flintlatch.net.telemetry import log
+from flintlatch.net.telemetry import Telemetry, log
+from flintlatch.rules import EXPECTED, LATE_MS, Denial, Violation, may_refuse, send_denial
 from flintlatch.settings import Wire
 
 MODULE_REST_S = 0.1  # s from the end of a broken module to the first step of the next
@@ -76,6 +77,7 @@
 
     def __init__(self, taken: Taken) -> None:
         self.taken = taken
+        self.give_up = now_ms() + taken.budget_ms  # when its client stops waiting
         self.attempts: list[Attempt] = []
         self.over = False
         self.timer: asyncio.TimerHandle | None = None
@@ -84,6 +86,7 @@
 class Engine:
     def __init__(self, settings: Settings, wire: Wire, seed: int, most_connections: int) -> None:
         self.settings, self.seed = settings, seed
+        self.telemetry = Telemetry()
         self.balancer = Balancer(settings, seed)
         self.backends = Backends(wire.connect_timeout_ms, wire.conn_idle_ms, most_connections)
         self.probe_limit_ms = wire.connect_timeout_ms
@@ -107,6 +110,7 @@
         # The pools hear of a drain here and now, before anything else of this turn can be written.
         self.backends.update(listing.targets, listing.whole)
         kind = kind or (ListKind.FULL if listing.whole else ListKind.CHANGES)
+        self.telemetry.count(f"list.{kind.value}")
         if kind is ListKind.SAVED:
             self._tell_held([target.uid for target in listing.targets])
         else:
@@ -132,6 +136,7 @@
     def on_list_failure(self, reason: str) -> None:
         self.news.append(ServerList(ListKind.FAILED))
         self._wake()
+        self.telemetry.count("list.failed")
         log(f"list: {reason}")
 
     def on_peer(self, peer: int, data: bytes) -> None:
@@ -140,6 +145,7 @@
     def move_list(self, address: str) -> None:
         """The list comes from another service from now on; the one held stands until that has answered."""
         if self.discovery is not None and self.discovery.move(address):
+            self.telemetry.count("list.moved")
             log(f"list: now from {address}")
             self._raise(ServiceMoved())
 
@@ -147,12 +153,14 @@
         """False if a request of this id is open or was of late: ids don't return, and another's must not."""
         self._forget_ids()
         if taken.id in self.known or taken.id in self.requests:
+            self.telemetry.count("request.id_open")
             return False
         self.known[taken.id] = now_ms()
         # No client waits longer than its class allows: a larger budget would skew what the module learns.
         budget = min(taken.budget_ms, self.settings.classes[taken.cls].deadline_ms)
         held = self.requests[taken.id] = Held(taken)
         held.timer = self.loop.call_later(max(budget, 0.0) / 1000, self._deadline, held)
+        self.telemetry.note(taken.id, "taken")
         give_up, again = now_ms() + budget, taken.repeat
         self._raise(Arrival(taken.id, taken.cls, taken.tenant, taken.key, give_up, again, taken.work_ms))
         return True
@@ -169,13 +177,14 @@
         held = self.requests.get(request_id)
         if held is None or held.over:
             return
+        self.telemetry.note(request_id, "client_left")
         self._close(held)
         self._abandon(held)
 
     def _deadline(self, held: Held) -> None:
         """The module let the client's time run out; the client gets its one answer all the same."""
         if not held.over:
-            self._answer(held, Answer(504))
+            self._answer(held, Answer(504), "deadline")
             self._abandon(held)
 
     def _abandon(self, held: Held) -> None:
@@ -190,7 +199,8 @@
     ) -> None:
         if result is Result.OK and got is not None and not held.over:
             headers = b"".join(b"%b: %b\r\n" % pair for pair in got.headers if pair[0] in PASSED_ON)
-            self._answer(held, Answer(200, headers, got.body))
+            self._answer(held, Answer(200, headers, got.body), "served")
+        self.telemetry.note(held.taken.id, "attempt_ended", result.value)
         delay = now_ms() - attempt.started
         self._raise(Outcome(held.taken.id, number, result, delay, held.over))
         self._forget(held)
@@ -258,7 +268,7 @@
             for attempt in held.attempts:
                 self.backends.cancel(attempt)
             if not held.over:
-                self._answer(held, Answer(500))
+                self._answer(held, Answer(500), "module_broke")
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, Send):
@@ -266,7 +276,7 @@
         elif isinstance(action, (Refuse, Fail)):
             held = self.requests.get(action.request)
             if held is not None and not held.over:
-                self._answer(held, refusal(action) if isinstance(action, Refuse) else Answer(504))
+                self._answer(held, self._final(held, action), action.reason.value)
         elif isinstance(action, Cancel):
             held = self.requests.get(action.request)
             if held is not None and action.attempt < len(held.attempts):
@@ -296,14 +306,36 @@
             action.limit_ms - spent,
             lambda ended, result, response: self._on_attempt(held, number, ended, result, response),
             action.within_ms - spent,
-            taken.gone,
+            lambda: self._denial(held, number),
         )
         held.attempts.append(attempt)
-        # That the client has left may wait for its turn of the loop, or lie behind what isn't read for now.
-        if held.over or number >= self.settings.most_attempts or taken.gone():
-            attempt.end(Result.NOT_SENT)
+        self.telemetry.note(taken.id, "attempt")
+        self.backends.start(attempt)
+
+    def _denial(self, held: Held, number: int) -> Denial | None:
+        """Whether attempt `number` of a request may be written now. That its client has left may wait for its
+        turn of the loop, or lie behind what isn't read for now, so the kernel is asked."""
+        spec, attempt = self.settings.classes[held.taken.cls], held.attempts[number]
+        denial: Denial | None
+        if held.over:
+            denial = Denial.ANSWERED
+        elif held.taken.gone():
+            denial = Denial.CLIENT_LEFT
         else:
-            self.backends.start(attempt)
+            denial = send_denial(self.settings, spec, held.attempts[:number], attempt, now_ms())
+        if denial is not None:
+            self.telemetry.note(held.taken.id, "denied", denial.value)
+            if denial not in EXPECTED:
+                self.telemetry.violation(Violation.BAD_SEND, held.taken.id, denial.value)
+        return denial
+
+    def _final(self, held: Held, action: Refuse | Fail) -> Answer:
+        if isinstance(action, Fail):
+            return Answer(504)
+        if may_refuse(self.settings.classes[held.taken.cls], held.attempts):
+            return refusal(action)
+        self.telemetry.violation(Violation.BAD_REFUSAL, held.taken.id, action.reason.value)
+        return Answer(504)
 
     def give_up(self) -> None:
         """The program ends: whoever still waits gets an answer now, and so does what was sent ahead."""
@@ -312,6 +344,9 @@
                 self._deadline(held)
 
     def close(self) -> None:
+        for held in self.requests.values():
+            if not held.over:
+                self.telemetry.violation(Violation.UNANSWERED, held.taken.id, "the program ends")
         self.backends.close()
         if self.discovery is not None:
             self.discovery.close()
@@ -321,7 +356,10 @@
 
     # The end of a request
 
-    def _answer(self, held: Held, answer: Answer) -> None:
+    def _answer(self, held: Held, answer: Answer, reason: str) -> None:
+        self.telemetry.note(held.taken.id, "answered", reason)
+        if (late := now_ms() - held.give_up) > LATE_MS:
+            self.telemetry.violation(Violation.LATE_ANSWER, held.taken.id, f"{late:.0f} ms, {reason}")
         self._close(held)
         held.taken.answer(answer)
 
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections import deque
+from enum import Enum
 from http import HTTPStatus
 from typing import cast
 
@@ -15,6 +16,7 @@
 from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, all_hung_up, hung_up, split_address, unread
 from flintlatch.net.request import Bad, Message, Reader, check_framing
 from flintlatch.net.telemetry import log
+from flintlatch.rules import Violation, may_close
 
 BACKLOG = 512
 ACCEPT_AT_ONCE = 16  # connections a turn: requests on open ones must not wait for a flood of new ones
@@ -43,6 +45,19 @@
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+class CloseReason(Enum):
+    """Why a client's connection ends."""
+
+    CLIENT = "client"  # it closed, reset or half-closed it
+    ANSWERED = "answered"  # after its last answer
+    LATE = "late"  # no whole request within its time
+    IDLE = "idle"
+    PLACE_WANTED = "place_wanted"  # by a new connection
+    STOPPING = "stopping"
+    NOT_READING = "not_reading"  # it leaves its answers unread
+    FLOOD = "flood"  # it sends on and on after its last answer
+
+
 class Client(asyncio.Protocol):
     """One connection. Requests on it are answered one after the other, each once."""
 
@@ -56,6 +71,7 @@
         self.closing = False  # nothing more is read
         self.places: dict[Client, float] | None = None  # where the frontend keeps it, see there
         self.served, self.bad, self.dropped = False, 0, 0
+        self.close_reason: CloseReason | None = None
         self.rest = b""  # read, not parsed yet
         self.begun = False  # a request has begun that is not here whole
         self._reset()
@@ -72,10 +88,11 @@
 
     def eof_received(self) -> None:
         self._leave()
-        self.close()
+        self.close(CloseReason.CLIENT)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._leave()
+        self._count_close(CloseReason.CLIENT)
         self.parser = None  # it holds this connection in turn: nothing should wait for the GC
         self.frontend.lost(self)
 
@@ -92,19 +109,42 @@
         if not hung_up(self.transport):
             return False
         self._leave()
-        self.close()
+        self.close(CloseReason.CLIENT)
         return True
 
-    def close(self) -> None:
+    def may_close(self) -> bool:
+        """Whether nothing is owed on it, and nothing has just been asked."""
+        return may_close(self._owes_answers(), unread(self.transport))
+
+    def _owes_answers(self) -> bool:
+        return self.request_id is not None or bool(self.queue)
+
+    def close(self, reason: CloseReason) -> None:
         """The transport closes once all that waits to be written is out; who never reads it is cut off."""
+        self._count_close(reason)
         self.frontend.put(self, self.frontend.ending)
         self.transport.close()
 
+    def cut_off(self, reason: CloseReason) -> None:
+        """Close it now, whatever waits to be written."""
+        self._count_close(reason)
+        self.transport.abort()
+
+    def _count_close(self, reason: CloseReason) -> None:
+        """Once for each connection; a request that was open on it is lost, unless its client has left."""
+        if self.close_reason is not None:
+            return
+        self.close_reason = reason
+        telemetry = self.frontend.engine.telemetry
+        telemetry.count(f"close.{reason.value}")
+        if self._owes_answers() and reason is not CloseReason.CLIENT:
+            telemetry.violation(Violation.UNANSWERED, self.request_id or "", f"closed: {reason.value}")
+
     def data_received(self, data: bytes) -> None:
         if self.closing:
             self.dropped += len(data)
             if self.dropped > LINGER_BYTES:
-                self.transport.abort()
+                self.cut_off(CloseReason.FLOOD)
             return
         self.rest = self.rest + data if self.rest else data
         self._go_on()
@@ -162,8 +202,8 @@
         if self.begun:
             self._bad(408)
             self._go_on()
-        elif not unread(self.transport):  # else it has just been asked
-            self.close()
+        elif self.may_close():
+            self.close(CloseReason.LATE)
 
     # httptools calls these
 
@@ -263,7 +303,7 @@
         if not keep:
             self.finish()
         elif self.transport.get_write_buffer_size() > UNREAD_ANSWERS:
-            self.transport.abort()
+            self.cut_off(CloseReason.NOT_READING)
 
     def reads(self) -> bool:
         """A part of its last answer still waits here for a client that reads slowly; or bytes of its own have
@@ -278,6 +318,7 @@
     def finish(self) -> None:
         """Close after what is written. Closed at once with bytes unread, the kernel would reset the
         connection and the client could lose its answer; so the client gets a moment to close first."""
+        self._count_close(CloseReason.ANSWERED)
         self.closing, self.rest = True, b""
         self.queue.clear()
         self.frontend.paused.discard(self)
@@ -381,9 +422,9 @@
             return
         if victim.places is self.ending or victim.transport.get_write_buffer_size():
             self.put(victim, None)
-            victim.transport.abort()
+            victim.cut_off(CloseReason.PLACE_WANTED)
         else:
-            victim.close()
+            victim.close(CloseReason.PLACE_WANTED)
 
     def _opened(self, task: asyncio.Task[object]) -> None:
         self.opening.discard(task)
@@ -407,7 +448,7 @@
                 if self._unflushed(client) and since > now - self.engine.longest_ms - UNREAD_MS:
                     continue  # closed, it would keep its descriptor until it has read what waits for it
                 # What the kernel holds already is a request that was sent in time.
-                if not (client.reads() if places is self.ending else unread(client.transport)):
+                if not client.reads() if places is self.ending else client.may_close():
                     return client
                 break
         return None
@@ -435,10 +476,10 @@
             client.late()
         for client in self._over(self.ending, LINGER_S):
             if not client.reads():
-                client.transport.abort()
+                client.cut_off(CloseReason.NOT_READING)
         for client in self._over(self.idle, IDLE_FULL_S if self.held > self.most / 2 else IDLE_S):
-            if not unread(client.transport):
-                client.close()
+            if client.may_close():
+                client.close(CloseReason.IDLE)
         if self.sock is None:
             self._close_unasked()
 
@@ -492,8 +533,8 @@
         """Those between two requests, and new ones whose first request would have come by now."""
         silent = [client for client in self._over(self.waiting, SPARE_MS / 1000) if not client.begun]
         for client in [*self.idle, *silent]:
-            if not unread(client.transport):  # else it has just been asked, and answers first
-                client.close()
+            if client.may_close():  # else it has just been asked, and answers first
+                client.close(CloseReason.STOPPING)
 
     async def _emptied(self, within_s: float) -> bool:
         if self.held:
--- /dev/null
+++ b/tests/test_guard.py
@@ -0,0 +1,137 @@
+"""The rules that are asked before anything is sent, refused or closed, and what is counted when they deny."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import pytest
+
+from flintlatch.api import (
+    Action,
+    Arrival,
+    Effect,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Result,
+    Scope,
+    Send,
+    Settings,
+)
+from flintlatch.net import engine as engine_module
+from flintlatch.net.telemetry import Telemetry
+from flintlatch.rules import Denial, Violation, may_close, may_refuse, repeat_denial, send_denial
+from tests.loopback import proxy, run
+
+UNSAFE = RequestClass(300.0, 1000.0, Effect.UNSAFE)
+SAFE = RequestClass(300.0, 1000.0)
+
+
+def keyed(scope: Scope) -> RequestClass:
+    return RequestClass(300.0, 1000.0, Effect.KEYED, scope, 500.0)
+
+
+class Tried(NamedTuple):
+    zone: int = 0
+    cell: int = 0
+    sent: float = 1000.0
+    open: bool = False
+    maybe_ran: bool = True
+
+
+NEVER = Tried(maybe_ran=False)
+
+
+@pytest.mark.parametrize(
+    ("spec", "earlier", "place", "now", "denial"),
+    [
+        (UNSAFE, [], Tried(), 1000.0, None),
+        (UNSAFE, [NEVER], Tried(), 1000.0, None),
+        (UNSAFE, [Tried()], Tried(), 1000.0, Denial.MAY_HAVE_RUN),
+        (UNSAFE, [Tried(open=True)], Tried(), 1000.0, Denial.SECOND_COPY),
+        (SAFE, [Tried(open=True)], Tried(), 1000.0, Denial.SECOND_COPY),
+        (SAFE, [Tried()], Tried(1, 1), 9999.0, None),
+        (SAFE, [NEVER] * 3, Tried(), 1000.0, Denial.TOO_MANY_ATTEMPTS),
+        (keyed(Scope.ALL), [Tried()], Tried(1, 1), 1499.0, None),
+        (keyed(Scope.ALL), [Tried()], Tried(), 1500.0, Denial.WINDOW_OVER),
+        (keyed(Scope.ZONE), [Tried()], Tried(0, 1), 1499.0, None),
+        (keyed(Scope.ZONE), [Tried()], Tried(1, 0), 1499.0, Denial.OUTSIDE_GROUP),
+        (keyed(Scope.CELL), [Tried()], Tried(0, 1), 1499.0, Denial.OUTSIDE_GROUP),
+        (keyed(Scope.CELL), [NEVER], Tried(1, 1), 9999.0, None),
+        (keyed(Scope.CELL), [NEVER, Tried(1, 1)], Tried(1, 1), 1499.0, None),
+    ],
+)
+def test_what_may_be_sent(
+    spec: RequestClass, earlier: list[Tried], place: Tried, now: float, denial: Denial | None
+) -> None:
+    settings = Settings((spec,), most_attempts=3)
+    assert send_denial(settings, spec, earlier, place, now) is denial
+    if denial is not Denial.OUTSIDE_GROUP:
+        assert repeat_denial(settings, spec, earlier, now) is denial
+
+
+def test_two_copies_where_the_settings_allow_them() -> None:
+    settings = Settings((SAFE,), most_attempts=3, may_duplicate=True)
+    assert send_denial(settings, SAFE, [Tried(open=True)], Tried(), 1000.0) is None
+
+
+def test_what_may_be_refused_and_closed() -> None:
+    for spec, refused in (
+        (SAFE, True),
+        (UNSAFE, False),
+        (keyed(Scope.CELL), False),
+        (keyed(Scope.ALL), True),
+    ):
+        assert may_refuse(spec, [NEVER]) and may_refuse(spec, [NEVER, Tried()]) is refused
+    assert may_close(False, False)
+    assert not may_close(True, False) and not may_close(False, True)
+
+
+def scripted(monkeypatch: pytest.MonkeyPatch, after: Action) -> None:
+    """A module that sends each request once, and does `after` once that attempt has ended."""
+
+    class Module:
+        def __init__(self, settings: Settings, seed: int) -> None:
+            pass
+
+        def step(self, now: float, events: list[Any]) -> list[Action]:
+            sends = [Send(e.request, "s0", 9000.0) for e in events if isinstance(e, Arrival)]
+            ended = [e for e in events if isinstance(e, Outcome) and e.result is Result.ERROR]
+            return [*sends, *(after for _ in ended)]
+
+    monkeypatch.setattr(engine_module, "Balancer", Module)
+
+
+@pytest.mark.parametrize(
+    ("after", "kind"),
+    [
+        (Send("c1", "s0", 9000.0), Violation.BAD_SEND),
+        (Refuse("c1", 0.0), Violation.BAD_REFUSAL),
+    ],
+)
+def test_a_decision_that_breaks_a_rule_is_not_carried_out_but_counted(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str], after: Action, kind: Violation
+) -> None:
+    scripted(monkeypatch, after)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send("/answer", x_budget_ms="1000")
+            (await p.backends[0].calls.get()).reply(status=500)
+            assert (await client.reply()).status == 504
+            assert p.backends[0].calls.empty()
+            assert p.engine.telemetry.counts[f"violation.{kind.value}"] == 1
+
+    run(test())
+    (line,) = [line for line in capfd.readouterr().err.splitlines() if "violation" in line]
+    assert "request c1" in line and "attempt_ended error" in line
+
+
+def test_counters_are_told_when_they_have_changed(capfd: pytest.CaptureFixture[str]) -> None:
+    telemetry = Telemetry()
+    telemetry.note("c1", "answered", "served")
+    for _ in range(2):
+        telemetry.report()
+    assert capfd.readouterr().err == 'flintlatch: counters {"answered.served":1}\n'
+    assert telemetry.violations() == 0
