--- /dev/null
+++ b/soak/shim/faults.c
@@ -0,0 +1,208 @@
+/* Makes system calls of one process fail for a moment, as Linux documents them.
+ *
+ * Loaded with LD_PRELOAD into a proxy that the soak test starts. SOAK_FAULTS holds rules, separated by blanks:
+ *
+ *     CALL:ERRNO:PERCENT:FROM_MS:TO_MS        the call fails with that errno in that span after the start
+ *     short:0:PERCENT:FROM_MS:TO_MS           reads and writes of sockets move fewer bytes than asked for
+ *
+ * CALL is socket, connect, accept, open, log (writes to standard error) or wait. SOAK_CLOCK_MS is added to what the
+ * wall clock says, SOAK_SEED seeds the draws. Nothing outside the process is touched.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/time.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+#define MOST_RULES 32
+#define LEAST_CUT 64 /* bytes: shorter transfers are the program's own signals, which the kernel moves whole */
+
+struct rule {
+    char call[16];
+    int error, percent;
+    long from_ms, to_ms;
+};
+
+static struct rule rules[MOST_RULES];
+static int rule_count;
+static long clock_ms;
+static uint64_t state = 88172645463325252ull;
+static struct timespec began;
+
+#define REAL(type, name, ...)                                                                                     \
+    static type (*real)(__VA_ARGS__);                                                                             \
+    if (!real)                                                                                                    \
+    real = (type(*)(__VA_ARGS__))dlsym(RTLD_NEXT, name)
+
+static int real_clock(clockid_t id, struct timespec *at) {
+    REAL(int, "clock_gettime", clockid_t, struct timespec *);
+    return real(id, at);
+}
+
+__attribute__((constructor)) static void read_rules(void) {
+    const char *text = getenv("SOAK_FAULTS"), *clock = getenv("SOAK_CLOCK_MS"), *seed = getenv("SOAK_SEED");
+    real_clock(CLOCK_MONOTONIC, &began);
+    if (clock)
+        clock_ms = atol(clock);
+    if (seed)
+        state ^= (uint64_t)atoll(seed) * 2685821657736338717ull + 1;
+    while (text && *text && rule_count < MOST_RULES) {
+        struct rule *r = &rules[rule_count];
+        int used = 0;
+        if (sscanf(text, " %15[a-z]:%d:%d:%ld:%ld%n", r->call, &r->error, &r->percent, &r->from_ms, &r->to_ms, &used) < 5)
+            break;
+        rule_count++;
+        text += used;
+    }
+}
+
+static unsigned draw(unsigned below) {
+    state ^= state << 13;
+    state ^= state >> 7;
+    state ^= state << 17;
+    return (unsigned)(state >> 11) % below;
+}
+
+/* The errno with which the call has to fail now; 0 for none, -1 for a rule that has none. */
+static int fault(const char *call) {
+    struct timespec now;
+    if (!rule_count)
+        return 0;
+    real_clock(CLOCK_MONOTONIC, &now);
+    long ms = (now.tv_sec - began.tv_sec) * 1000 + (now.tv_nsec - began.tv_nsec) / 1000000;
+    for (int i = 0; i < rule_count; i++) {
+        struct rule *r = &rules[i];
+        if (ms >= r->from_ms && ms < r->to_ms && !strcmp(r->call, call) && draw(100) < (unsigned)r->percent)
+            return r->error ? r->error : -1;
+    }
+    return 0;
+}
+
+#define FAIL(call)                                                                                                \
+    do {                                                                                                          \
+        int error = fault(call);                                                                                  \
+        if (error > 0) {                                                                                          \
+            errno = error;                                                                                        \
+            return -1;                                                                                            \
+        }                                                                                                         \
+    } while (0)
+
+int socket(int domain, int type, int protocol) {
+    REAL(int, "socket", int, int, int);
+    FAIL("socket");
+    return real(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr *to, socklen_t size) {
+    REAL(int, "connect", int, const struct sockaddr *, socklen_t);
+    FAIL("connect");
+    return real(fd, to, size);
+}
+
+int accept(int fd, struct sockaddr *from, socklen_t *size) {
+    REAL(int, "accept", int, struct sockaddr *, socklen_t *);
+    FAIL("accept");
+    return real(fd, from, size);
+}
+
+int accept4(int fd, struct sockaddr *from, socklen_t *size, int flags) {
+    REAL(int, "accept4", int, struct sockaddr *, socklen_t *, int);
+    FAIL("accept");
+    return real(fd, from, size, flags);
+}
+
+static int is_config(const char *path) {
+    const char *config = getenv("LB_CONFIG");
+    return config && path && !strcmp(path, config);
+}
+
+#define OPEN(name)                                                                                                \
+    int name(const char *path, int flags, ...) {                                                                  \
+        REAL(int, #name, const char *, int, ...);                                                                 \
+        va_list more;                                                                                             \
+        va_start(more, flags);                                                                                    \
+        mode_t mode = va_arg(more, mode_t);                                                                       \
+        va_end(more);                                                                                             \
+        if (is_config(path))                                                                                      \
+            FAIL("open");                                                                                         \
+        return real(path, flags, mode);                                                                           \
+    }
+OPEN(open)
+OPEN(open64)
+
+static int is_socket(int fd) {
+    struct stat about;
+    return fd > 2 && !fstat(fd, &about) && S_ISSOCK(about.st_mode);
+}
+
+static size_t cut(int fd, size_t size) {
+    if (size < LEAST_CUT || !rule_count || !is_socket(fd) || !fault("short"))
+        return size;
+    return 1 + draw((unsigned)(size - 1));
+}
+
+ssize_t write(int fd, const void *data, size_t size) {
+    REAL(ssize_t, "write", int, const void *, size_t);
+    if (fd == 2)
+        FAIL("log");
+    return real(fd, data, cut(fd, size));
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count) {
+    REAL(ssize_t, "writev", int, const struct iovec *, int);
+    if (count > 0 && cut(fd, parts[0].iov_len) < parts[0].iov_len)
+        return write(fd, parts[0].iov_base, 1 + parts[0].iov_len / 2);
+    return real(fd, parts, count);
+}
+
+ssize_t read(int fd, void *data, size_t size) {
+    REAL(ssize_t, "read", int, void *, size_t);
+    size_t least = size > 200 ? 200 : size; /* a buffer is far longer than what comes: cut what comes */
+    return real(fd, data, cut(fd, size) < size ? 1 + draw((unsigned)least) : size);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
+    REAL(int, "epoll_wait", int, struct epoll_event *, int, int);
+    FAIL("wait");
+    return real(fd, events, most, timeout);
+}
+
+int epoll_pwait(int fd, struct epoll_event *events, int most, int timeout, const sigset_t *mask) {
+    REAL(int, "epoll_pwait", int, struct epoll_event *, int, int, const sigset_t *);
+    FAIL("wait");
+    return real(fd, events, most, timeout, mask);
+}
+
+int clock_gettime(clockid_t id, struct timespec *at) {
+    int result = real_clock(id, at);
+    if (!result && id == CLOCK_REALTIME)
+        at->tv_sec += clock_ms / 1000;
+    return result;
+}
+
+int gettimeofday(struct timeval *restrict at, void *restrict zone) {
+    REAL(int, "gettimeofday", struct timeval *, void *);
+    int result = real(at, zone);
+    if (!result)
+        at->tv_sec += clock_ms / 1000;
+    return result;
+}
+
+time_t time(time_t *at) {
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    if (at)
+        *at = now.tv_sec;
+    return now.tv_sec;
+}
