Draw the faults of each process of a soak from its own seed

Cause: they were drawn from the run's generator, whose place depends on the order of events; the short run of the suite failed in some plays only. Its failure is a fault of the program (a start without a socket for a moment ends with exit code 2), which is followed on its own.

--- a/soak/run.py
+++ b/soak/run.py
@@ -215,7 +215,9 @@
             proxy.send(signal.SIGKILL)
             await proxy.ended()
         await asyncio.sleep(self.random.uniform(0.05, 0.5))
-        await proxy.start(draw_environment(self.random, self.library, self.plan.faulty))
+        # Of its own: what else was drawn by then depends on the order of events.
+        random = Random(f"{self.plan.seed} {proxy.number} {proxy.lives}")
+        await proxy.start(draw_environment(random, self.library, self.plan.faulty))
 
     async def reload(self, proxy: ProxyProcess, times: int) -> None:
         """Another discovery is named by the file; the old one takes nothing new and closes a while later."""
