Pass on answers without a length that end whole; a reset is still no end

Cause: Exchange took each answer with neither Content-Length nor chunks for spoilt as its head came.

--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -117,6 +117,7 @@
         self._parts = [bytearray()]
         self._size, self._interim, self._length = 0, 0, 0
         self._head_done, self._spoilt, self._done, self._keep = False, False, False, False
+        self._to_the_end = False  # the answer has no length and lasts until the connection ends
         self.waiting, self.unsent = True, False
         self.transport.write(request)
         if self.transport.is_closing():
@@ -160,6 +161,12 @@
         elif self._spoilt or self._size > (self.most if self._head_done else MAX_HEAD):
             self._break()
 
+    def eof_received(self) -> None:
+        """The other side has ended its sending in good order, which a reset never tells."""
+        if self.waiting and self._to_the_end and not self._spoilt:
+            self._done = True
+            self._finish()
+
     def _finish(self) -> None:
         # Answered before the request was written whole: its rest must not run into the next one.
         self.waiting, self.usable = False, self._keep and not self.unsent
@@ -192,11 +199,13 @@
             # 101 would make the rest something else than HTTP; nobody asked for that.
             self._spoilt = self._spoilt or self._interim > MAX_INTERIM or self._status == 101
             return
-        # An answer must tell its end, and once: at the end of the connection half a body looks whole.
+        # An answer tells its length in one way; one that tells none ends with its connection.
         lengths = [value for name, value in self._headers if name == b"content-length"]
         codings = [value for name, value in self._headers if name == b"transfer-encoding"]
-        if len(lengths) + len(codings) != 1:
-            self._spoilt = self._status not in EMPTY or bool(lengths or codings)
+        if len(lengths) + len(codings) > 1:
+            self._spoilt = True
+        elif not lengths and not codings:
+            self._to_the_end = self._status not in EMPTY
         elif codings:
             self._spoilt = codings[0].strip().lower() != b"chunked"
         else:
