Judge slow start by what is new in a list, not by dates against a wall clock

Cause: Balancer.take called a backend cold while boot_ms plus the cold time lay ahead of the proxy's clock, which is anchored to the wall clock at the process's start (net/clock.py). With the backend's clock or the proxy's an hour off one way a backend that had just started was warm at once and got a full share: with 3 and 30 proxies its worst window was over the bound. An hour off the other way it stayed cold for an hour. Change: flintlatch/slow_start.py. A date that is new to a process which holds a list means a start now, unless it tells one of the last 15 s. In the first lists of a process dates in the future, or long past with no other sign that the clock is right, are compared with one another: the newest counts as a start at the moment of hearing, the others are as much older. A whole list no longer forgets the dates of the backends beyond those that are kept. Cost: a process that starts after a quiet time takes the backends of the newest date for cold once more, 24 s here.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -23,6 +23,7 @@
     SetTimer, Settings, StreamStarted, Tell, TimerFired, Watch,
 )  # fmt: skip
 from flintlatch.rules import first_run, repeat_denial, same_group
+from flintlatch.slow_start import SlowStart
 
 BEAT_MS = 25.0  # ms between housekeeping rounds: expiry and recovery need no finer grain
 WINDOW_OF_AIM = 0.5  # part of the aim: the detector's window, so a verdict comes while it still helps
@@ -210,6 +211,12 @@
             self.buckets.pop(number, None)
         return None if told is None else loads(told)
 
+    def get(self, name: str) -> Traits | None:
+        if not self.count:
+            return None
+        told = self.buckets.get(self.rank(name)[0] >> FAR_SHIFT, {}).get(name)
+        return None if told is None else loads(told)
+
     def first(self, most: int) -> list[str]:
         found: list[str] = []
         for number in sorted(self.buckets):
@@ -325,6 +332,8 @@
         self.servers: dict[str, Server] = {}  # those of which what was learned is kept
         self.active: list[Server] = []  # of these
         self.far, self.edge = Far(settings.me), (0, "")  # all others, and the last rank that is not of them
+        self.slow_start = SlowStart(settings.cold_ms)
+        self.heard_list = False  # since this process began
         self.reserve, self.listed = RESERVE, 0  # servers to keep; active ones of the whole list
         self.cold: list[Server] = []  # those of `near` that were cold as it was chosen
         self.near: list[Server] = []  # those it sends to: all active, or as one of many its own few
@@ -715,15 +724,25 @@
             return
         if event.kind not in (ListKind.SAVED, ListKind.MORE):
             self.ask_failures, self.ask_at, self.moved_at = 0, None, -inf
+        before = self.far
         if event.kind not in (ListKind.CHANGES, ListKind.MORE):
             listed = {e.server for e in event.entries}
             for server in [s for name, s in self.servers.items() if name not in listed]:
                 self.drop(server, ServerState.GONE)
+                self.slow_start.forget(server.id)
             self.far = Far(self.settings.me)
+        saved = event.kind in (ListKind.SAVED, ListKind.MORE)
+        clock_was_right = self.slow_start.clock_is_right
         for entry in event.entries:
+            self.date_start(now, entry, before, saved)
             self.on_entry(now, entry)
             if len(self.servers) > self.reserve + RESERVE_SLACK:
                 self.trim()
+        if saved or not self.heard_list or self.slow_start.clock_is_right != clock_was_right:
+            for name in self.slow_start.settle(now):
+                if (server := self.servers.get(name)) is not None:
+                    self.set_cold(now, server)
+        self.heard_list = self.heard_list or not saved
         self.find_active()
         if not self.near or event.kind is ListKind.MORE:
             self.allow = max(ALLOW_LEAST, START_LIMIT * self.listed / self.settings.proxies)
@@ -799,6 +818,24 @@
         if not alike:
             del self.by_hash[server.hash]
 
+    def date_start(self, now: float, entry: ServerInfo, before: Far, saved: bool) -> None:
+        """Whether this entry tells of a start that this process had not heard of; `before`: what it held."""
+        if entry.state is ServerState.GONE:
+            self.slow_start.forget(entry.server)
+            return
+        server = self.servers.get(entry.server)
+        traits = before.get(entry.server) if server is None else None
+        known = server is not None or traits is not None
+        started = server.started if server is not None else traits[3] if traits is not None else None
+        if known and started == entry.started:
+            return
+        if saved:
+            self.slow_start.found(now, entry.server, entry.started)
+        elif self.heard_list:
+            self.slow_start.restarted(now, entry.server, entry.started)
+        else:
+            self.slow_start.first_told(now, entry.server, entry.started)
+
     def on_entry(self, now: float, entry: ServerInfo) -> None:
         server, name = self.servers.get(entry.server), entry.server
         if server is not None and entry.state is ServerState.GONE:
@@ -823,12 +860,15 @@
         if entry.started != server.started:
             server.forget()
             server.started = entry.started
-            if entry.started is not None and entry.started + self.settings.cold_ms > now:
-                server.cold_until = entry.started + self.settings.cold_ms
-                server.limit = min(1.0, server.limit)
-                # All proxies hear of it at once: their first requests must not come at once as well.
-                server.tokens = self.rng.random() if self.sparse else 0.0
-                server.draw_at = now + server.tokens * self.settings.fall_ms
+            self.set_cold(now, server)
+
+    def set_cold(self, now: float, server: Server) -> None:
+        was_cold, server.cold_until = server.cold_until > now, self.slow_start.end(server.id)
+        if server.cold_until > now and not was_cold:
+            server.limit = min(1.0, server.limit)
+            # All proxies hear of it at once: their first requests must not come at once as well.
+            server.tokens = self.rng.random() if self.sparse else 0.0
+            server.draw_at = now + server.tokens * self.settings.fall_ms
 
     def on_beat(self, now: float) -> None:
         self.out.append(SetTimer(BEAT_MS, 0))
@@ -875,6 +915,7 @@
         self.turned_away *= PLAYS_KEEP
         self.find_part(seconds)
         self.reserve = int(self.reserve * RESERVE_KEEP)
+        self.slow_start.prune(now)
         warm: dict[int, list[Server]] = {}
         self.choose_near(now)
         usual, near = self.usual_payoff(), set(self.near)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -153,3 +153,30 @@
     world.join(12, clock_off_ms)
     world.run(3_000, 0.9)
     assert 0 < world.worst() <= 1
+
+
+@pytest.mark.parametrize("clock_off_ms", [-HOUR_MS, HOUR_MS])
+@pytest.mark.parametrize("proxies", [3, 30])
+def test_cold_servers_hold_where_all_proxies_start_anew_by_a_clock_that_is_off(
+    proxies: int, clock_off_ms: float
+) -> None:
+    world = Fleet(proxies, 8, 6.0, harmonic(proxies))
+    world.run(3_000, 0.7)
+    world.join(12, clock_off_ms)
+    for me in range(proxies):
+        world.start(me)
+    world.run(3_000, 0.9)
+    assert 0 < world.worst() <= 1
+
+
+@pytest.mark.parametrize("clock_off_ms", [-HOUR_MS, HOUR_MS])
+@pytest.mark.parametrize("anew", [False, True])
+def test_slow_start_ends_in_its_time_whatever_the_clock_says(clock_off_ms: float, anew: bool) -> None:
+    world = Fleet(3, 8, 6.0, [1.0, 1.0, 1.0])
+    world.run(3_000, 0.7)
+    world.join(12, clock_off_ms)
+    if anew:
+        for me in range(3):
+            world.start(me)
+    world.run(COLD_MS + 500.0, 0.1)
+    assert all(s.cold_until <= world.now for m in world.modules.values() for s in m.servers.values())
