--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -202,6 +202,28 @@
 # Floods
 
 
+def test_noise_without_end_behind_a_request_does_not_take_its_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend_module, "LINGER_BYTES", 1000)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            call = await p.backends[0].calls.get()
+            (inside,) = p.frontend.clients
+            client.writer.write(b"\x16\x03 no request\r\n\r\n")
+            await until(lambda: inside.closing)
+            client.writer.write(b"x" * 100_000)
+            await until(lambda: unread(inside.transport) or inside not in p.frontend.clients)
+            call.reply(b"owed")
+            assert (await client.reply()).body == b"owed"
+            assert (await client.reply()).status == 400
+            await until(lambda: not p.frontend.clients)
+            client.close()
+
+    run(test())
+
+
 def test_hundreds_of_connections_at_once_are_each_served_once() -> None:
     async def test() -> None:
         async with proxy() as p:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import signal
@@ -17,6 +18,8 @@
 
 from tests.loopback import Client, Peer, configuration, listing, run, target
 
+RELOAD_S = 20.0  # far beyond the 4 s in which a move has to take effect
+
 
 def free_address() -> str:
     with socket.socket() as sock:
@@ -97,3 +100,91 @@
             peer.close()
 
     run(test())
+
+
+FAILS_AT_FIRST = """if True:
+    import builtins, errno, os, socket, sys
+    call, error, first, last = sys.argv[1], int(sys.argv[2]), int(sys.argv[3]), int(sys.argv[4])
+    count = 0
+
+    def failing(real):
+        def fails(*arguments, **options):
+            global count
+            if call != "open" or arguments[0] == os.environ["LB_CONFIG"]:
+                count += 1
+                if first <= count <= last:
+                    raise OSError(error, os.strerror(error))
+            return real(*arguments, **options)
+        return fails
+
+    if call == "socket":
+        socket.socket.__init__ = failing(socket.socket.__init__)
+    elif call == "bind":
+        class Socket(socket.socket):
+            bind = failing(socket.socket.bind)
+        socket.socket = Socket
+    else:
+        builtins.open = failing(builtins.open)
+    from flintlatch.__main__ import main
+    sys.exit(main())"""
+
+
+def failing_at_first(call: str, error: int, first: int, last: int) -> list[str]:
+    """A program in which these calls of a kind fail, counted from its start."""
+    return ["-c", FAILS_AT_FIRST, call, str(error), str(first), str(last)]
+
+
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        ("socket", errno.ENFILE),
+        ("socket", errno.ENOBUFS),
+        ("bind", errno.EADDRNOTAVAIL),
+        ("open", errno.ENFILE),
+        ("open", errno.EIO),
+    ],
+)
+def test_a_moments_lack_at_the_start_is_no_failed_start(tmp_path: Path, call: str, error: int) -> None:
+    async def test() -> None:
+        backend = await Peer().open()
+        config = configuration("127.0.0.1:1", target("s", backend.address), Peers=True)
+        config |= {"listen": free_address(), "peer_listen": free_address(), "peers": ["127.0.0.1:1"]}
+        config["peers_all"] = "127.0.0.1:1"
+        arguments = failing_at_first(call, error, 1, 3)
+        async with program(tmp_path, config, *arguments, stderr=asyncio.subprocess.DEVNULL) as process:
+            opened = asyncio.ensure_future(connected(config["listen"]))
+            ended = asyncio.ensure_future(process.wait())
+            await asyncio.wait((opened, ended), return_when=asyncio.FIRST_COMPLETED)
+            assert process.returncode is None
+            client = await opened
+            client.send()
+            (await backend.calls.get()).reply(b"served")
+            assert (await client.reply()).body == b"served"
+            client.close()
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+        backend.close()
+
+    run(test())
+
+
+def test_a_reload_that_cannot_open_the_file_for_a_moment_takes_effect(tmp_path: Path) -> None:
+    async def test() -> None:
+        first, second = await Peer().open(), await Peer().open()
+        config = configuration(first.address, target("s", "127.0.0.1:1"))
+        async with program(
+            tmp_path, config, *failing_at_first("open", errno.ENFILE, 2, 3), stderr=asyncio.subprocess.PIPE
+        ) as process:
+            assert process.stderr is not None
+            await first.calls.get()
+            write(tmp_path, configuration(second.address, target("s", "127.0.0.1:1")))
+            process.send_signal(signal.SIGHUP)
+            asked = asyncio.ensure_future(second.calls.get())
+            refused = asyncio.ensure_future(process.stderr.readuntil(b"going on as before\n"))
+            await asyncio.wait((asked, refused), return_when=asyncio.FIRST_COMPLETED)
+            await refused
+            assert (await asyncio.wait_for(asked, RELOAD_S)).line.startswith("GET /registry/instances")
+        first.close()
+        second.close()
+
+    run(test())
