Answer a request that is open before its client's noise cuts the connection off

Cause: once something that can't be read had come, Client.data_received dropped what followed and cut the connection off after 1 MiB (LINGER_BYTES), also while an earlier request on it was still at a backend: read, and closed with no answer. Change: while answers are owed such a connection is not read; who leaves it is found by the look at paused ones. After the last answer it is read and dropped as before.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -141,6 +141,11 @@
             telemetry.violation(Violation.UNANSWERED, self.request_id or "", f"closed: {reason.value}")
 
     def data_received(self, data: bytes) -> None:
+        if self.closing and self._owes_answers():
+            # Read on, it could send so much that it would be cut off before its answers are out.
+            self.transport.pause_reading()
+            self.frontend.watch_paused(self)
+            return
         if self.closing:
             self.dropped += len(data)
             if self.dropped > LINGER_BYTES:
