Make a start or reload that lacks a socket or file for a moment again

Cause: main() took each OSError of the start for its end, a loop without its socket pair raised RuntimeError past it, and a reload whose file could not be opened (ENFILE, EIO) or was not whole was told in the log and never made: the old discovery closes 1.5 s after SIGHUP, and drains count as told 4 s after it. A tier's address that was not to be had at the start left the proxy without peers for good. Change: the start is tried again for 5 s while a call lacks something that Linux documents as momentary (not: an address that is taken, a file that is not there); a reload is read again after 0.1 to 3.2 s; peers are opened anew each second.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import os
 import resource
 import signal
 import sys
+import time
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from math import inf
-from typing import Any
+from typing import Any, TypeVar
 
 import orjson
 import uvloop
@@ -27,6 +31,7 @@
 from flintlatch.settings import (
     Malformed,
     Message,
+    Unreadable,
     Wire,
     given,
     listing,
@@ -45,6 +50,27 @@
 # With few descriptors a quarter of them, but no fewer than these: a running program has 16 of its own, peers
 # and discovery among them, and one more for each connection that is accepted or opened as another closes.
 LEAST_SPARE = 24
+# What a call may lack for a moment, as Linux documents it. At the start it is made again for so long, well
+# within the time in which a proxy has to be ready.
+MOMENTARY = frozenset(
+    (
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EIO,
+        errno.EMFILE,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    )
+)
+START_PATIENCE_S = 5.0
+START_RETRY_S = 0.05
+PEERS_RETRY_S = 1.0
+# s after which a reload that failed is made again: a move has to take effect within 4 s.
+RELOAD_RETRY_S = (0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 REPORT_S = 60.0  # s between reports of the counters; SIGUSR1 asks for one at once
 LEAST_SOCKETS = 32  # with fewer hardly anybody could be served
 # Of the other descriptors: clients hold a third of all for requests at most, each in flight once or waiting
@@ -75,7 +101,7 @@
             outline, is_long = without(in_pieces(read(path), "known"))
             raw = mapping(outline, "configuration")
         except OSError as error:
-            raise Malformed(f"{path}: {error.strerror}") from None
+            raise Unreadable(path, error) from None
         except orjson.JSONDecodeError as error:
             raise Malformed(f"{path}: not JSON: {error}") from None
         try:
@@ -130,10 +156,7 @@
         held=engine.backends.targets,
     )
     if config.tier is not None:
-        try:
-            engine.peers = Peers(config.tier, engine.on_peer)
-        except OSError as error:  # what peers would say is of help, but clients are served without it
-            log(f"peers: {error}")
+        open_peers(engine, config.tier)
     frontend = Frontend(engine, Reader(config.settings, config.wire), of_clients)
     frontend.listen(config.listen)  # before anything is asked: without the address the program ends here
     if not config.settings.ask_for_list:
@@ -142,15 +165,48 @@
     return engine, frontend
 
 
-def reload(engine: Engine, env: dict[str, str]) -> None:
-    """SIGHUP: the file has been replaced. Only where the list comes from may change while the proxy runs,
-    and there the file counts, since the environment can't change."""
-    try:
-        config = Config({name: value for name, value in env.items() if name != "LB_DISCOVERY"}, True)
-    except Malformed as error:
-        log(f"reload: {error}; going on as before")
+def open_peers(engine: Engine, tier: Tier) -> None:
+    """What peers would say is of help, but clients are served without it until the address is to be had."""
+    if engine.discovery is None:  # closed
         return
-    engine.move_list(config.discovery)
+    try:
+        engine.peers = Peers(tier, engine.on_peer)
+    except OSError as error:
+        log(f"peers: {error}")
+        asyncio.get_running_loop().call_later(PEERS_RETRY_S, open_peers, engine, tier)
+
+
+class Reloader:
+    """SIGHUP: the file has been replaced. Only where the list comes from may change while the proxy runs, and
+    there the file counts, since the environment can't change."""
+
+    def __init__(self, engine: Engine, environment: dict[str, str]) -> None:
+        self.engine = engine
+        self.environment = {name: value for name, value in environment.items() if name != "LB_DISCOVERY"}
+        self.again: asyncio.TimerHandle | None = None
+
+    def __call__(self) -> None:
+        self.close()
+        self._read(0)
+
+    def _read(self, failures: int) -> None:
+        """A file that can't be read now may be readable soon, and nobody sends another signal for it."""
+        try:
+            config = Config(self.environment, True)
+        except Malformed as error:
+            self.engine.telemetry.count("reload.failed")
+            if not failures:
+                log(f"reload: {error}; going on as before")
+            if failures < len(RELOAD_RETRY_S):
+                loop = asyncio.get_running_loop()
+                self.again = loop.call_later(RELOAD_RETRY_S[failures], self._read, failures + 1)
+            return
+        self.engine.telemetry.count("reload.read")
+        self.engine.move_list(config.discovery)
+
+    def close(self) -> None:
+        if self.again is not None:
+            self.again.cancel()
 
 
 async def report_on(telemetry: Telemetry) -> None:
@@ -170,7 +226,8 @@
         loop.add_signal_handler(ends, stop.set)
     engine, frontend = start(config)
     # In the same turn as the start: no client can have seen the proxy ready before.
-    loop.add_signal_handler(signal.SIGHUP, reload, engine, dict(os.environ))
+    reload = Reloader(engine, dict(os.environ))
+    loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, engine.telemetry.report)
     reporting = loop.create_task(report_on(engine.telemetry))
     log(f"{config.name} listens on {frontend.address}")
@@ -186,6 +243,7 @@
     await asyncio.sleep(ACCEPT_ON_S)
     await frontend.finish(min(max(c.deadline_ms for c in config.settings.classes) / 1000, LONGEST_S))
     engine.close()
+    reload.close()
     reporting.cancel()
     engine.telemetry.report()
     # The loop's handlers go with the loop: a signal in the last moment must not end the program in its way.
@@ -193,18 +251,42 @@
     log("stopped")
 
 
+def run_loop(config: Config) -> None:
+    """Serve until the program is told to end."""
+    runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+    try:
+        runner.run(serve(config))
+    except OSError:
+        # A loop that could not even be set up takes itself for running, and can't be closed.
+        with suppress(RuntimeError):
+            runner.close()
+        raise
+    runner.close()
+
+
+T = TypeVar("T")
+
+
+def patiently(begin: Callable[[], T], until: float) -> T:
+    """What `begin` returns; it is begun anew while it lacks something for a moment, up to `until`."""
+    while True:
+        try:
+            return begin()
+        except (OSError, Unreadable) as error:
+            if error.errno not in MOMENTARY or time.monotonic() >= until:
+                raise
+        time.sleep(START_RETRY_S)
+
+
 def main() -> int:
     for early in (signal.SIGHUP, signal.SIGUSR1):  # until the loop has its handlers: the file is read below
         signal.signal(early, signal.SIG_IGN)
     gc.disable()  # until all is made: next to nothing of it is to be thrown away
+    until = time.monotonic() + START_PATIENCE_S
     try:
-        config = Config(dict(os.environ))
-    except Malformed as error:
-        log(str(error))
-        return 2
-    try:
-        uvloop.run(serve(config))
-    except OSError as error:  # the address to listen on is not to be had
+        config = patiently(lambda: Config(dict(os.environ)), until)
+        patiently(lambda: run_loop(config), until)
+    except (Malformed, OSError) as error:  # the configuration is bad, or the address is not to be had
         log(str(error))
         return 2
     return 0
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -740,8 +740,8 @@
                 self.trim()
         if saved or not self.heard_list or self.slow_start.clock_is_right != clock_was_right:
             for name in self.slow_start.settle(now):
-                if (server := self.servers.get(name)) is not None:
-                    self.set_cold(now, server)
+                if (redated := self.servers.get(name)) is not None:
+                    self.set_cold(now, redated)
         self.heard_list = self.heard_list or not saved
         self.find_active()
         if not self.near or event.kind is ListKind.MORE:
--- a/flintlatch/settings.py
+++ b/flintlatch/settings.py
@@ -16,6 +16,14 @@
     """Input that breaks the wire's rules; the text is for a person."""
 
 
+class Unreadable(Malformed):
+    """Input that could not be read at all; `errno` says why."""
+
+    def __init__(self, path: str, error: OSError) -> None:
+        super().__init__(f"{path}: {error.strerror}")
+        self.errno = error.errno
+
+
 def choice(table: dict[str, Any], value: object, member: str) -> Any:
     if not isinstance(value, str) or value not in table:
         raise Malformed(f"unknown {member} {value!r}")
