--- a/soak/judge.py
+++ b/soak/judge.py
@@ -184,7 +184,7 @@
         yield Breach(Rule.READY, name, f"after {life.ready - life.started:.1f} s")
     if life.ended is not None and life.killed is None:
         if life.stopping is None or life.code != 0:
-            yield Breach(Rule.CRASH, name, f"exit code {life.code}")
+            yield Breach(Rule.CRASH, name, f"exit code {life.code}: {life.log[-1] if life.log else ''}")
         else:
             longest = min(max(lane.deadline_s for lane in journal.lanes), LONGEST_S)
             took = life.ended - life.stopping
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -33,9 +33,16 @@
     return library
 
 
+def own_host() -> str:
+    """A loopback host of this process alone: on the usual one the port of a proxy that restarts may be taken
+    by the near end of any connection meanwhile."""
+    process = os.getpid()
+    return f"127.{64 + process % 64}.{process // 64 % 256}.1"
+
+
 def free_address(kind: socket.SocketKind = socket.SOCK_STREAM) -> str:
     with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((own_host(), 0))
         return "{}:{}".format(*sock.getsockname())
 
 
