--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -40,10 +40,17 @@
     return f"127.{64 + process % 64}.{process // 64 % 256}.1"
 
 
+given: set[str] = set()  # addresses: the kernel may name one anew that nobody has bound yet
+
+
 def free_address(kind: socket.SocketKind = socket.SOCK_STREAM) -> str:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((own_host(), 0))
-        return "{}:{}".format(*sock.getsockname())
+    while True:
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.bind((own_host(), 0))
+            address = "{}:{}".format(*sock.getsockname())
+        if address not in given:
+            given.add(address)
+            return address
 
 
 class ProxyProcess:
