--- a/soak/backends.py
+++ b/soak/backends.py
@@ -167,10 +167,14 @@
             attempt.ran = Ran.SERVED
             self._write(whole)
             if manner is Manner.TWICE:
-                self.loop.call_later(LATE_COPY_S * self.backend.random.random(), self.transport.write, whole)
+                self.loop.call_later(LATE_COPY_S * self.backend.random.random(), self._copy, whole)
             elif manner is Manner.CLOSES:
                 self.transport.close()
 
+    def _copy(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
     def _write(self, data: bytes) -> None:
         self.transport.write(data)
         self._end_attempt()
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -199,6 +199,34 @@
     run(test())
 
 
+def test_a_request_that_is_whole_only_as_the_program_ends_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Sent on, it could not be answered any more."""
+    monkeypatch.setattr(frontend_module, "LAST_WORDS_S", 5.0)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            sent = request()
+            client.writer.write(sent[:-2])
+            await until(lambda: any(inside.begun for inside in p.frontend.clients))
+            p.frontend.stop_keeping()
+            give_up = p.engine.give_up
+
+            def rest_comes_then() -> None:
+                give_up()
+                client.writer.write(sent[-2:])
+
+            monkeypatch.setattr(p.engine, "give_up", rest_comes_then)
+            await p.frontend.finish(0.0)
+            reply = await client.reply()
+            assert (reply.status, reply.headers["connection"]) == (503, "close")
+            assert p.backends[0].calls.empty() and not p.engine.requests
+
+    run(test())
+
+
 # Floods
 
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -474,6 +474,25 @@
     run(test())
 
 
+def test_requests_sent_ahead_have_their_time_from_when_they_were_sent(
+    script: type[Script], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """However many lie before them: one that is parsed only when another has ended waited all that time."""
+    monkeypatch.setattr(frontend_module, "PIECE", 100)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            sent = [request(x_call_id=f"c{number}", x_budget_ms="200") for number in range(6)]
+            client.writer.write(b"".join(sent))
+            for _ in sent:
+                assert (await client.reply()).status == 504
+            first, *others = [arrival.give_up for arrival in events(Arrival)]
+            assert len(others) == 5 and all(abs(give_up - first) < 100.0 for give_up in others)
+
+    run(test())
+
+
 def test_timers_watches_and_probes_are_carried_out(script: type[Script]) -> None:
     script.act = each(
         ServerList, lambda e: [SetTimer(1.0, 42), Probe("s0"), Watch()] * (e.kind is ListKind.SAVED)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -468,3 +468,22 @@
     request = driver.arrive()
     driver.end(request, Result.NO_ROOM)
     assert len(driver.sends[request]) == 2
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+def test_a_moments_lack_of_connections_here_does_not_use_up_a_requests_attempts(effect: Effect) -> None:
+    driver = Driver(
+        settings(RequestClass(1000.0, 3000.0, effect, window_ms=1000.0), most_attempts=5), *fleet(5)
+    )
+    request, begun = driver.arrive(wait=3000.0), driver.now
+    tried = 0
+    while driver.now < begun + 200.0:
+        actions = driver.step()
+        if len(driver.sends[request]) > tried:
+            tried += 1
+            actions += driver.end(request, Result.NO_ROOM, after=0.1)
+        actions += driver.beat()
+        assert of(Fail, actions) == []
+    driver.beats(500.0)
+    assert len(driver.sends[request]) == tried + 1
+    assert of(Fail, driver.end(request)) == []
