Count the time of requests sent ahead from when their bytes came

Cause: Client._go_on parsed what lay in its buffer only when the requests before it had ended, and dated it then. While backends hang each request behind the first 4 KiB got all of its time once more: it was told to a backend as time left, and its answer came after the client's time and half a second more. What lay in the kernel was dated the same way. Reading pauses only when more than 4 KiB wait, no longer at two requests; what is read first after a pause is dated to the pause's begin if it lay there by its end. The tests on paused connections send more behind their requests now, with the same assertions.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -14,6 +14,7 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.net.engine import Answer, Engine
 from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, all_hung_up, hung_up, split_address, unread
+from flintlatch.net.readahead import ReadAhead
 from flintlatch.net.request import Bad, Message, Reader, check_framing
 from flintlatch.net.telemetry import log
 from flintlatch.rules import Violation, may_close
@@ -72,7 +73,9 @@
         self.places: dict[Client, float] | None = None  # where the frontend keeps it, see there
         self.served, self.bad, self.dropped = False, 0, 0
         self.close_reason: CloseReason | None = None
-        self.rest = b""  # read, not parsed yet
+        self.rest = ReadAhead()
+        self.arrived = 0.0  # when what is being parsed came
+        self.paused_at = 0.0  # since when it has not been read; 0 while it is
         self.begun = False  # a request has begun that is not here whole
         self._reset()
 
@@ -98,7 +101,8 @@
 
     def _leave(self) -> None:
         """Nobody waits here any more for what was asked on this connection."""
-        self.closing, self.rest = True, b""
+        self.closing = True
+        self.rest.clear()
         self.queue.clear()
         if self.request_id is not None:
             self.frontend.engine.client_gone(self.request_id)
@@ -151,7 +155,9 @@
             if self.dropped > LINGER_BYTES:
                 self.cut_off(CloseReason.FLOOD)
             return
-        self.rest = self.rest + data if self.rest else data
+        # What comes first after a pause may have lain in the kernel for all of it.
+        self.rest.append(data, self.paused_at or now_ms())
+        self.paused_at = 0.0
         self._go_on()
 
     def _go_on(self) -> None:
@@ -161,7 +167,7 @@
                 self._handle(self.queue.popleft())
             if not self.rest or self.closing or len(self.queue) >= PIPELINED:
                 break
-            piece, self.rest = self.rest[:PIECE], self.rest[PIECE:]
+            piece, self.arrived = self.rest.take(PIECE)
             self._feed(piece)
         if self.places is self.frontend.ending or self.transport.is_closing():
             return
@@ -172,11 +178,14 @@
                 self, self.frontend.waiting if self.begun or not self.served else self.frontend.idle
             )
         if not self.closing:
-            if len(self.queue) >= PIPELINED or len(self.rest) > PIECE:
+            if len(self.rest) > PIECE:
+                self.paused_at = self.paused_at or now_ms()
                 self.transport.pause_reading()
                 self.frontend.watch_paused(self)
             else:
                 self.frontend.paused.discard(self)
+                if self.paused_at and not unread(self.transport):
+                    self.paused_at = 0.0
                 self.transport.resume_reading()
 
     def _feed(self, piece: bytes) -> None:
@@ -198,7 +207,8 @@
     def _bad(self, status: int) -> None:
         """What follows on this connection can't be told apart any more, so it is not read."""
         if not self.closing:
-            self.closing, self.rest = True, b""
+            self.closing = True
+            self.rest.clear()
             self.begun = False
             self.queue.append(Bad(status))
 
@@ -248,7 +258,7 @@
             return
         assert self.parser is not None
         method, keep = self.parser.get_method(), self.parser.should_keep_alive()
-        self.queue.append(Message(method, self._target, self._headers, bytes(self._body), keep, now_ms()))
+        self.queue.append(Message(method, self._target, self._headers, bytes(self._body), keep, self.arrived))
         self.begun = False
         self._reset()
 
@@ -324,7 +334,8 @@
         """Close after what is written. Closed at once with bytes unread, the kernel would reset the
         connection and the client could lose its answer; so the client gets a moment to close first."""
         self._count_close(CloseReason.ANSWERED)
-        self.closing, self.rest = True, b""
+        self.closing = True
+        self.rest.clear()
         self.queue.clear()
         self.frontend.paused.discard(self)
         self.transport.resume_reading()
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -31,9 +31,10 @@
 )
 from flintlatch.net import engine as engine_module
 from flintlatch.net import frontend as frontend_module
+from flintlatch.net import request as request_module
 from flintlatch.net import telemetry as telemetry_module
 from flintlatch.net.clock import now_ms
-from flintlatch.net.http1 import hung_up
+from flintlatch.net.http1 import hung_up, unread
 from tests.loopback import Client, Gate, Proxy, proxy, request, reset, run, until
 
 Step = Callable[[list[Any]], list[Action]]
@@ -213,8 +214,10 @@
 
 
 def sent_ahead(client: Client, *ids: str) -> None:
+    """And behind them so much that the proxy reads no further."""
     for name in ids:
         client.send(x_call_id=name)
+    client.send(x_call_id=f"{ids[-1]}-long", body=b"x" * 3 * frontend_module.PIECE)
 
 
 def test_a_client_that_leaves_is_noticed_while_its_connection_is_not_read(script: type[Script]) -> None:
@@ -493,6 +496,36 @@
     run(test())
 
 
+def test_what_lay_in_the_kernel_has_its_time_from_when_reading_paused(
+    script: type[Script], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """And what comes long after the pause has all of its time."""
+    clock = [0.0]
+    monkeypatch.setattr(frontend_module, "now_ms", lambda: now_ms() + clock[0])
+    monkeypatch.setattr(request_module, "now_ms", lambda: now_ms() + clock[0])
+    script.act = each(Arrival, lambda e: [Send(e.request, "s0", 9000.0)] * (e.request == "c1"))
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            sent_ahead(client, "c1", "c2", "c3")
+            call = await p.backends[0].calls.get()
+            await until(lambda: p.frontend.paused)
+            (inside,) = p.frontend.clients
+            client.send(x_call_id="late", x_budget_ms="9000")
+            await until(lambda: unread(inside.transport))
+            clock[0] = 5000.0
+            call.reply()
+            await until(lambda: len(events(Arrival)) == 2)
+            p.engine.give_up()
+            for _ in range(5):
+                await client.reply()
+            assert [e.request for e in events(Arrival)] == ["c1", "c2"]
+            assert inside.paused_at == 0.0 and inside.arrived < now_ms() + 2500.0
+
+    run(test())
+
+
 def test_timers_watches_and_probes_are_carried_out(script: type[Script]) -> None:
     script.act = each(
         ServerList, lambda e: [SetTimer(1.0, 42), Probe("s0"), Watch()] * (e.kind is ListKind.SAVED)
