Refuse at once what is taken after the last answers of a stopping proxy

Cause: between engine.give_up and the end of the program (0.1 s) a request that became whole was taken and sent on as ever; the program ended before it was answered. Deadlines shorter than the 2 s of a slow writer make room for that. Change: from give_up on the engine refuses what it takes (503, never sent).

--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -100,6 +100,7 @@
         self.events: list[Event] = []
         self.ended: list[Held] = []  # to be forgotten once the module has been told of their end
         self.turn: asyncio.Handle | None = None
+        self.ending = False  # no new request could be answered in time any more
         self.stepped = 0.0  # when the module was last asked: the times of its actions count from then
         self.life = 0  # of the module; a new one starts after it broke
         self.loop = asyncio.get_running_loop()
@@ -159,8 +160,11 @@
         # No client waits longer than its class allows: a larger budget would skew what the module learns.
         budget = min(taken.budget_ms, self.settings.classes[taken.cls].deadline_ms)
         held = self.requests[taken.id] = Held(taken)
-        held.timer = self.loop.call_later(max(budget, 0.0) / 1000, self._deadline, held)
         self.telemetry.note(taken.id, "taken")
+        if self.ending:
+            self.loop.call_soon(self._refuse_at_end, held)
+            return True
+        held.timer = self.loop.call_later(max(budget, 0.0) / 1000, self._deadline, held)
         give_up, again = now_ms() + budget, taken.repeat
         self._raise(Arrival(taken.id, taken.cls, taken.tenant, taken.key, give_up, again, taken.work_ms))
         return True
@@ -187,6 +191,11 @@
             self._answer(held, Answer(504), "deadline")
             self._abandon(held)
 
+    def _refuse_at_end(self, held: Held) -> None:
+        if not held.over:
+            self._answer(held, Answer(503), Denial.STOPPED.value)
+            self.requests.pop(held.taken.id, None)
+
     def _abandon(self, held: Held) -> None:
         """Nobody waits for it any more. Whether attempts that are out may be called off is the module's
         affair; one whose bytes have not gone out is none yet, and never goes out."""
@@ -338,7 +347,9 @@
         return Answer(504)
 
     def give_up(self) -> None:
-        """The program ends: whoever still waits gets an answer now, and so does what was sent ahead."""
+        """The program ends: whoever still waits gets an answer now, and so does what was sent ahead. What
+        comes from now on is refused at once."""
+        self.ending = True
         while waiting := [held for held in self.requests.values() if not held.over]:
             for held in waiting:
                 self._deadline(held)
