Spread the attempts of a request over the moment in which this proxy lacks connections

Cause: an attempt that ends for want of an own descriptor or port (NO_ROOM) was followed by the next in the same step, so a lack of 1 ms failed requests with seconds left. ENETUNREACH and ENETDOWN counted as the backend's failure: all were blamed in a moment without a route. Change: after the first such attempt another server is tried at once, then after 50, 100 and 200 ms; the two errors are this proxy's own.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -55,6 +55,9 @@
 FAIL_CUT = 0.8  # factor on the limit after a failure that tells of load
 FAIR_SPREADS = 3.0  # mean deviations above the usual latency that an attempt needs to have a fair chance
 SILENT = 2.0  # usual latencies without an answer after which a server that holds requests may hang
+# ms until a request for which this proxy lacked a connection twice is sent again, doubled at each attempt
+# (all would else be used up in that moment). After the first another server may have a connection left.
+LACK_MS = 50.0
 STRIKES = 3  # failures in a row after which a server rests
 REST_MS = (500.0, 8000.0)  # ms, first rest and the longest: doubled each time, jittered
 OUTLIER = 0.6  # part of the usual payoff below which one of many proxies takes a server for bad
@@ -260,6 +263,7 @@
         self.last_call = event.give_up  # the last moment to send it
         self.open = 0  # attempts without an outcome
         self.held = self.over = self.stream = False
+        self.lacks, self.lacks_until = 0, 0.0  # attempts for which this proxy lacked a connection; next one
 
 
 class Endpoint:
@@ -641,14 +645,26 @@
 
     def again(self, now: float, request: Request, result: Result) -> None:
         """An attempt failed and none is out: another one, a refusal or a failure."""
-        spec, ran = request.spec, first_run(request.attempts)
         if result is Result.NOT_SENT:
             self.end(request, EndReason.NOT_SENT)
         elif result is Result.INVALID:
             self.end(request, EndReason.REQUEST_AT_FAULT)
         elif not self.may_follow(now, request):
             self.end(request, EndReason.MAY_NOT_FOLLOW)
-        elif ran is None:
+        elif result is Result.NO_ROOM:
+            request.lacks += 1
+            if request.lacks == 1:
+                self.follow(request)
+            else:
+                request.lacks_until = now + LACK_MS * 2 ** (request.lacks - 2)
+                self.at(request.lacks_until, request)
+        else:
+            self.follow(request)
+
+    def follow(self, request: Request) -> None:
+        """Get it ready for another attempt."""
+        spec, ran = request.spec, first_run(request.attempts)
+        if ran is None:
             self.hold(request, True)
         elif self.retries < 1:
             self.end(request, EndReason.RETRY_BUDGET)
@@ -889,6 +905,12 @@
             request = heappop(self.due)[2]
             if request.held:
                 self.time_up(now, request)
+            elif not request.over and 0 < request.lacks_until <= now:
+                request.lacks_until = 0.0
+                if self.may_follow(now, request):
+                    self.follow(request)
+                else:
+                    self.end(request, EndReason.MAY_NOT_FOLLOW)
 
     def at(self, when: float, request: Request) -> None:
         self.order += 1
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -21,7 +21,17 @@
 
 # How an attempt ends that may not be written. That this proxy was too slow for it is not the backend's doing.
 DENIED = {Denial.BACKEND_LEFT: Result.CONNECT_FAILED, Denial.TIME_OVER: Result.NO_ROOM}
-OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+OWN_LACK = frozenset(
+    (
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    )
+)
 SWEEPS = 20  # looks at idle connections within that limit
 
 
