--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -755,9 +755,8 @@
             if len(self.servers) > self.reserve + RESERVE_SLACK:
                 self.trim()
         if saved or not self.heard_list or self.slow_start.clock_is_right != clock_was_right:
-            for name in self.slow_start.settle(now):
-                if (redated := self.servers.get(name)) is not None:
-                    self.set_cold(now, redated)
+            for dated in [s for s in self.servers.values() if s.started is not None]:
+                self.set_cold(now, dated)
         self.heard_list = self.heard_list or not saved
         self.find_active()
         if not self.near or event.kind is ListKind.MORE:
--- a/flintlatch/slow_start.py
+++ b/flintlatch/slow_start.py
@@ -28,8 +28,13 @@
         self.clock_is_right = False  # a start was heard of that was neither in the future nor long past
 
     def end(self, name: str) -> float:
-        """When it is warm; 0 for one that is."""
-        return self.ends.get(name, 0.0)
+        """When it is warm; 0 for one that is not known to be cold."""
+        started = self.undated.get(name)
+        if started is None:
+            return self.ends.get(name, 0.0)
+        if self.clock_is_right and started <= self.heard:
+            return 0.0  # long past by a clock that can be believed
+        return self.heard + self.cold_ms - (self.newest - started)
 
     def restarted(self, now: float, name: str, started: float | None) -> None:
         """The date of its start is new to a process that held a list without it."""
@@ -61,26 +66,11 @@
         if started > self.newest:
             self.newest, self.heard = started, now
 
-    def settle(self, now: float) -> set[str]:
-        """After a list: judge the backends that have no age of their own; those whose end has changed."""
-        changed = set()
-        for name, started in list(self.undated.items()):
-            end = self.heard + self.cold_ms - (self.newest - started)
-            # Where this clock is right, what is long past is long past; what is in the future is not.
-            if end <= now or (self.clock_is_right and started <= now):
-                del self.undated[name]
-                end = 0.0
-            if end != self.ends.pop(name, 0.0):
-                changed.add(name)
-            if end:
-                self.ends[name] = end
-        return changed
-
     def forget(self, name: str) -> None:
         self.ends.pop(name, None)
         self.undated.pop(name, None)
 
     def prune(self, now: float) -> None:
         """Drop those that are warm by now."""
-        for name in [name for name, end in self.ends.items() if end <= now]:
+        for name in [name for name in (*self.ends, *self.undated) if self.end(name) <= now]:
             self.forget(name)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -18,6 +18,11 @@
 NEW_AFTER_STOP_S = 0.3  # after SIGTERM, in which new connections still come
 PIECES = 3  # of a request that is written slowly
 LEAST_BUDGET = 0.7  # part of its class's deadline that a client waits
+HURRIED = 0.03  # share of the requests that have very little time left
+HURRIED_S = (0.01, 0.15)
+PIPELINED = (3, 6)
+PIPELINED_MANY, PIPELINED_MANY_SHARE = (30, 60), 0.1
+CROWD_S = 4.0  # for which a crowd of silent connections stays, unless the proxy closes them
 LEAVES_WITHIN_S = 0.1
 FLOOD_BYTES = 2 * 1024 * 1024
 GARBAGE = b"\x16\x03\x01 this is no request\r\n\r\n"
@@ -164,6 +169,8 @@
         lane = self.random.randrange(len(self.journal.lanes))
         spec = self.journal.lanes[lane]
         budget_s = spec.deadline_s * self.random.uniform(LEAST_BUDGET, 1.0)
+        if self.random.random() < HURRIED:
+            budget_s = self.random.uniform(*HURRIED_S)
         request_id = f"r{next(self.ids):07d}"
         proxy = connection.proxy.number
         request = Request(request_id, proxy, connection.life, lane, 0.0, budget_s, connection.used)
@@ -208,7 +215,9 @@
     async def _pipelined(self, proxy: ProxyProcess) -> None:
         if (connection := await self._connection(proxy)) is None:
             return
-        made = [self._request(connection) for _ in range(self.random.randint(3, 6))]
+        many = self.random.random() < PIPELINED_MANY_SHARE
+        number = self.random.randint(*(PIPELINED_MANY if many else PIPELINED))
+        made = [self._request(connection) for _ in range(number)]
         connection.transport.write(b"".join(data for _, data in made))
         for request, _ in made:
             self._sent(connection, request)
@@ -229,6 +238,14 @@
             await asyncio.sleep(0.002)
             connection.transport.write(GARBAGE + b"x" * FLOOD_BYTES)
 
+    async def crowd(self, proxy: ProxyProcess, number: int) -> None:
+        """Connections that say nothing, as many at once."""
+        made = [await self._connection(proxy, new=True) for _ in range(number)]
+        await asyncio.sleep(CROWD_S)
+        for connection in made:
+            if connection is not None and not connection.ended:
+                connection.transport.close()
+
     def _watch_bad(self, connection: Connection, manner: str) -> None:
         connection.bad = BadClient(connection.proxy.number, connection.life, self.loop.time(), manner)
         if manner != "flood":
--- a/soak/run.py
+++ b/soak/run.py
@@ -38,6 +38,8 @@
 SETTLE_S = 3.5  # after the last request, until each has had its answer
 LEAST_BACKENDS = 6
 HOLD_S = 0.15
+CROWD = 70
+SOCKETS = (96, 512)  # descriptors that a proxy may have
 LAG_LOOK_S = 0.02
 CALM_S = 1.0  # from the readiness of all proxies to the first request
 TERM_SLACK_S = 6.0  # until a process that does not end on SIGTERM is killed: that is judged
@@ -136,7 +138,7 @@
             "listen": self.proxies[number].listen if number < len(self.proxies) else "127.0.0.1:0",
             "discovery": self.agents[number].address,
             "seed": f"{self.random.getrandbits(64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS[number % 2]},
             "peer_listen": self.peers[number],
             "peers": self.peers,
             "peers_all": self.everyone.address,
@@ -188,7 +190,10 @@
                 self.spawn(self.reload(proxy, times=self.random.randint(1, 2)))
         elif trouble.kind is Kind.HOLD:
             for proxy in chosen:
-                self.spawn(self.hold(proxy, self.random.uniform(0.02, HOLD_S)))
+                self.spawn(self.hold(proxy, trouble.length_s))
+        elif trouble.kind is Kind.CROWD:
+            for proxy in chosen:
+                self.spawn(self.clients.crowd(proxy, CROWD))
         elif trouble.kind is Kind.DISCOVERY_DOWN:
             self.registry.switch(False)
             await asyncio.sleep(trouble.length_s)
@@ -234,9 +239,12 @@
             await asyncio.sleep(self.random.uniform(0.0, 0.4))
 
     async def hold(self, proxy: ProxyProcess, seconds: float) -> None:
-        proxy.send(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        proxy.send(signal.SIGCONT)
+        until = self.loop.time() + seconds
+        while self.loop.time() < until:
+            proxy.send(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.02, HOLD_S))
+            proxy.send(signal.SIGCONT)
+            await asyncio.sleep(self.random.uniform(0.1, 1.0))
 
     async def spoil(self, trouble: Trouble) -> None:
         chosen = self.random.sample(
@@ -277,7 +285,8 @@
         lag = self.loop.create_task(self.watch_lag())
         await asyncio.sleep(CALM_S)
         habits = Habits()
-        clients = Clients(self.proxies, self.journal, self.random, self.plan.rate * self.plan.proxies, habits)
+        rate = self.plan.rate * self.plan.proxies
+        clients = self.clients = Clients(self.proxies, self.journal, self.random, rate, habits)
         started = self.loop.time()
         for trouble in troubles:
             self.spawn(self.trouble(trouble, started))
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -17,7 +17,7 @@
     STOP = "stop"  # SIGTERM to some proxies, and a new start
     KILL = "kill"  # SIGKILL
     RELOAD = "reload"  # a new discovery for some proxies by SIGHUP, now and then twice
-    HOLD = "hold"  # SIGSTOP for up to 0.15 s
+    HOLD = "hold"  # SIGSTOP for up to 0.15 s, again and again
     DISCOVERY_DOWN = "discovery down"
     SILENT_WATCHES = "silent watches"
     DRAIN = "drain"
@@ -25,6 +25,7 @@
     REPLACE = "replace"
     BAD_BACKENDS = "bad backends"
     CLOSE_IDLE = "close idle"
+    CROWD = "crowd"  # of silent clients before some proxies
 
 
 WEIGHTS = {
@@ -39,6 +40,7 @@
     Kind.REPLACE: 2,
     Kind.BAD_BACKENDS: 4,
     Kind.CLOSE_IDLE: 1,
+    Kind.CROWD: 1,
 }
 FAULTS = (
     ("socket", errno.ENFILE),
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -496,6 +496,22 @@
     run(test())
 
 
+def test_a_request_behind_another_is_answered_in_its_time_too(script: type[Script]) -> None:
+    """Answers on a connection come in order, so the one before it can't keep all of its own time."""
+    script.act = each(Arrival, lambda e: [Send(e.request, "s0", 20000.0)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            client, begun = await p.client(), now_ms()
+            client.writer.write(request(x_call_id="c1") + request(x_call_id="c2", x_budget_ms="100"))
+            assert [(await client.reply()).status for _ in range(2)] == [504, 504]
+            assert now_ms() - begun < 10000.0  # of the 20 s that the first one had
+            call = await p.backends[0].calls.get()
+            assert call.headers["x-call-id"] == "c1" and p.backends[0].calls.empty()
+
+    run(test())
+
+
 def test_what_lay_in_the_kernel_has_its_time_from_when_reading_paused(
     script: type[Script], monkeypatch: pytest.MonkeyPatch
 ) -> None:
