Let no request outlast the time of those sent behind it on its connection

Cause: answers on a connection go out in order, and a request kept all of its own time while others with less lay behind it: those were answered after their time and half a second more, which is lost. Parsing stopped at two requests ahead, so that the time of further ones was not even known. Change: the engine answers the open request at the latest 0.25 s after the soonest time of those behind it (counted as «overtaken»), and short requests are parsed up to 64 or 16 KiB ahead, since hidden ones can't be counted. One test of test_engine.py counted events a turn too early, which failed once under load; it waits for that turn now, with the same assertions.

--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -77,7 +77,7 @@
 
     def __init__(self, taken: Taken) -> None:
         self.taken = taken
-        self.give_up = now_ms() + taken.budget_ms  # when its client stops waiting
+        self.give_up = self.answer_by = now_ms() + taken.budget_ms  # when its client stops waiting
         self.attempts: list[Attempt] = []
         self.over = False
         self.timer: asyncio.TimerHandle | None = None
@@ -188,9 +188,18 @@
     def _deadline(self, held: Held) -> None:
         """The module let the client's time run out; the client gets its one answer all the same."""
         if not held.over:
-            self._answer(held, Answer(504), "deadline")
+            self._answer(held, Answer(504), "overtaken" if held.answer_by < held.give_up else "deadline")
             self._abandon(held)
 
+    def hurry(self, request_id: str, until: float) -> None:
+        """It has to be answered by then: others behind it on its connection can't be answered before."""
+        held = self.requests.get(request_id)
+        if held is None or held.over or held.timer is None or until >= held.answer_by:
+            return
+        held.answer_by = until
+        held.timer.cancel()
+        held.timer = self.loop.call_later(max(until - now_ms(), 0.0) / 1000, self._deadline, held)
+
     def _refuse_at_end(self, held: Held) -> None:
         if not held.over:
             self._answer(held, Answer(503), Denial.STOPPED.value)
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -17,11 +17,13 @@
 from flintlatch.net.readahead import ReadAhead
 from flintlatch.net.request import Bad, Message, Reader, check_framing
 from flintlatch.net.telemetry import log
-from flintlatch.rules import Violation, may_close
+from flintlatch.rules import LATE_MS, Violation, may_close
 
 BACKLOG = 512
 ACCEPT_AT_ONCE = 16  # connections a turn: requests on open ones must not wait for a flood of new ones
-PIPELINED = 2  # requests read ahead on one connection before it is not read any further
+PIPELINED = 2  # requests parsed ahead on one connection, however long they are
+# Short ones are parsed further ahead, so that the time of each is known: the one before must not outlast it.
+PIPELINED_SHORT, PIPELINED_BYTES = 64, 16 * 1024
 PIECE = 4096  # bytes parsed before the requests in them are looked at: hundreds sent at once must not be
 MAX_MESSAGE = MAX_HEAD + 4 * MAX_BODY  # bytes of one request as sent, so many for the framing of chunks
 BAD_IN_A_ROW = 8  # refused requests after which a connection closes: one that only errs must come anew
@@ -41,6 +43,9 @@
 LAST_WORDS_S = 0.1  # s in which the last answers reach their clients before the program ends
 UNREAD_ANSWERS = 2 * MAX_BODY  # bytes of answers that a client may leave unread
 UNREAD_MS = 500.0  # ms after a request's time in which its answer may yet be read: then it is lost
+# ms after its time by which a request behind another gets its answer: half of the time in which an
+# answer only earns nothing.
+BEHIND_MS = LATE_MS / 2
 READY_PATH = b"/health/ready"
 
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -165,13 +170,14 @@
         while not self.closing or self.queue:
             while self.request_id is None and self.queue:
                 self._handle(self.queue.popleft())
-            if not self.rest or self.closing or len(self.queue) >= PIPELINED:
+            if not self.rest or self.closing or not self._parses_ahead():
                 break
             piece, self.arrived = self.rest.take(PIECE)
             self._feed(piece)
         if self.places is self.frontend.ending or self.transport.is_closing():
             return
         if self.request_id is not None or self.queue:
+            self._hurry()
             self.frontend.put(self, None)
         else:
             self.frontend.put(
@@ -188,6 +194,20 @@
                     self.paused_at = 0.0
                 self.transport.resume_reading()
 
+    def _parses_ahead(self) -> bool:
+        waiting = len(self.queue)
+        if waiting < PIPELINED:
+            return True
+        return waiting < PIPELINED_SHORT and sum(message.size() for message in self.queue) < PIPELINED_BYTES
+
+    def _hurry(self) -> None:
+        """Answers go out in order: the open request can't take more time than those behind it have."""
+        if self.request_id is None:
+            return
+        times = [behind.give_up() for behind in self.queue if isinstance(behind, Message)]
+        if times:
+            self.frontend.engine.hurry(self.request_id, min(times) + BEHIND_MS)
+
     def _feed(self, piece: bytes) -> None:
         assert self.parser is not None
         self._size += len(piece)
--- a/flintlatch/net/request.py
+++ b/flintlatch/net/request.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Callable
+from math import inf
 from typing import NamedTuple
 from urllib.parse import unquote_to_bytes
 
@@ -34,6 +35,9 @@
         super().__init__(status)
         self.status = status
 
+    def size(self) -> int:
+        return 0
+
 
 class Message(NamedTuple):
     method: bytes
@@ -43,6 +47,15 @@
     keep: bool
     arrived: float
 
+    def size(self) -> int:
+        """Bytes, of head and body, without what frames them."""
+        return len(self.target) + len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
+    def give_up(self) -> float:
+        """When its client stops waiting, in ms of `now_ms`; infinite if it does not say so rightly."""
+        budget = next((value for name, value in self.headers if name == b"x-budget-ms"), b"")
+        return self.arrived + float(budget) if BUDGET.fullmatch(budget) else inf
+
 
 def check_framing(headers: Headers) -> None:
     """Where the message ends must be beyond dispute, or the next server could see another request in it."""
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -217,7 +217,8 @@
     """And behind them so much that the proxy reads no further."""
     for name in ids:
         client.send(x_call_id=name)
-    client.send(x_call_id=f"{ids[-1]}-long", body=b"x" * 3 * frontend_module.PIECE)
+    for number in range(2):
+        client.send(x_call_id=f"{ids[-1]}-long-{number}", body=b"x" * frontend_module.PIPELINED_BYTES)
 
 
 def test_a_client_that_leaves_is_noticed_while_its_connection_is_not_read(script: type[Script]) -> None:
@@ -261,6 +262,7 @@
                 p.frontend._look_at_paused()
             assert len(polls) == 1
             await until(lambda: len(p.frontend.clients) == 200)
+            await until(lambda: not p.engine.events)  # the module hears of them a turn later
             assert {e.request for e in events(ClientGone)} == {f"{n}-1" for n in range(0, 300, 3)}
             assert len(p.frontend.paused) == 200 and p.frontend.looker is not None
             p.frontend.looker.cancel()
@@ -534,7 +536,7 @@
             call.reply()
             await until(lambda: len(events(Arrival)) == 2)
             p.engine.give_up()
-            for _ in range(5):
+            for _ in range(6):
                 await client.reply()
             assert [e.request for e in events(Arrival)] == ["c1", "c2"]
             assert inside.paused_at == 0.0 and inside.arrived < now_ms() + 2500.0
