--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import select
 import socket
 from collections.abc import Callable
@@ -514,6 +515,30 @@
     run(test())
 
 
+def test_a_request_that_waited_for_a_place_has_the_time_that_is_left(script: type[Script]) -> None:
+    """Its bytes came while no connection was accepted."""
+    script.act = each(Arrival, lambda e: [Send(e.request, "s0", 9000.0)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            p.frontend.most = 1
+            first, second = await p.client(), await p.client()
+            first.send(x_call_id="c1", connection="close")
+            call = await p.backends[0].calls.get()
+            second.send(x_call_id="c2", x_budget_ms="9000")
+            sent = now_ms()
+            await until(lambda: not p.frontend.accepting)
+            await asyncio.sleep(0.5)
+            call.reply()
+            assert (await first.reply()).status == 200
+            first.close()
+            (await p.backends[0].calls.get()).reply()
+            assert (await second.reply()).status == 200
+            assert events(Arrival)[1].give_up < sent + 9000.0 + 100.0
+
+    run(test())
+
+
 def test_what_lay_in_the_kernel_has_its_time_from_when_reading_paused(
     script: type[Script], monkeypatch: pytest.MonkeyPatch
 ) -> None:
