Count the time of a request from when the kernel got it, where nothing was accepted

Change: what is read first on a connection that waited for a place, or after a pause, is dated by tcpi_last_data_recv; where the kernel does not tell, as before. Ordinary reads ask nothing.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -13,7 +13,16 @@
 
 from flintlatch.net.clock import now_ms
 from flintlatch.net.engine import Answer, Engine
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, all_hung_up, hung_up, split_address, unread
+from flintlatch.net.http1 import (
+    MAX_BODY,
+    MAX_HEAD,
+    Headers,
+    all_hung_up,
+    hung_up,
+    last_arrival_ms,
+    split_address,
+    unread,
+)
 from flintlatch.net.readahead import ReadAhead
 from flintlatch.net.request import Bad, Message, Reader, check_framing
 from flintlatch.net.telemetry import log
@@ -81,6 +90,7 @@
         self.rest = ReadAhead()
         self.arrived = 0.0  # when what is being parsed came
         self.paused_at = 0.0  # since when it has not been read; 0 while it is
+        self.unaccepted_since = frontend.full_since  # until it was accepted; 0 if it was at once
         self.begun = False  # a request has begun that is not here whole
         self._reset()
 
@@ -160,11 +170,23 @@
             if self.dropped > LINGER_BYTES:
                 self.cut_off(CloseReason.FLOOD)
             return
-        # What comes first after a pause may have lain in the kernel for all of it.
-        self.rest.append(data, self.paused_at or now_ms())
-        self.paused_at = 0.0
+        self.rest.append(data, self._arrival())
         self._go_on()
 
+    def _arrival(self) -> float:
+        """When the bytes that have just been read came: they may have lain in the kernel for as long as this
+        connection was not read, or not accepted."""
+        now, unread_since = now_ms(), self.paused_at or self.unaccepted_since
+        if not unread_since:
+            return now
+        age_ms = last_arrival_ms(self.transport)
+        paused_at, self.paused_at, self.unaccepted_since = self.paused_at, 0.0, 0.0
+        if age_ms is None:
+            return (
+                paused_at or now
+            )  # the earliest that it can have come in a pause, of which this proxy knows
+        return max(unread_since, now - age_ms)
+
     def _go_on(self) -> None:
         """Take requests in turn, and read on while few are waiting."""
         while not self.closing or self.queue:
@@ -375,6 +397,7 @@
         self.idle: dict[Client, float] = {}  # kept between two requests
         self.ending: dict[Client, float] = {}  # have their last answer, and a moment to read it
         self.paused: set[Client] = set()  # not read for now, so that their leaving is not told
+        self.full_since = 0.0  # since when connections may wait in the kernel's queue; 0 if they don't
         self.held = 0  # descriptors of clients, those just accepted and those just closing included
         self.opening: set[asyncio.Task[object]] = set()
         self.stopping = self.accepting = False
@@ -421,6 +444,7 @@
 
     def _accept_later(self) -> None:
         """There is no room; a client that goes makes some, and so does one that is idle by then."""
+        self.full_since = self.full_since or now_ms()
         self._accept_off()
         self.loop.call_later(RETRY_ACCEPT_S, self._accept_on)
 
@@ -436,6 +460,7 @@
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
+                self.full_since = 0.0
                 return True
             except (InterruptedError, ConnectionAbortedError):
                 continue
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+import struct
 from collections.abc import Iterable
 from typing import NamedTuple, cast
 
@@ -15,6 +16,8 @@
 PART = MAX_BODY  # bytes from which a body goes on in another part: no copy of a long one is ever made
 Headers = list[tuple[bytes, bytes]]  # names in lower case
 
+# Of Linux's struct tcp_info: where tcpi_last_data_recv stands, and the bytes up to its end.
+LAST_DATA_RECEIVED_AT, TCP_INFO_BYTES = 52, 56
 MAX_INTERIM = 8  # 1xx answers ahead of the real one: more are no answer but a way to keep a client waiting
 EMPTY = frozenset((204, 205, 304))  # statuses whose answers have no body, and so need not say its length
 
@@ -57,6 +60,20 @@
     return bool(poll.poll(0))  # an error and a reset are told unasked
 
 
+def last_arrival_ms(transport: asyncio.Transport) -> float | None:
+    """How long ago the kernel got the last bytes of this connection, in ms; None where it can't tell."""
+    try:
+        info = transport.get_extra_info("socket").getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+    except OSError:
+        return None
+    if len(info) < TCP_INFO_BYTES:
+        return None
+    (age_ms,) = struct.unpack_from("=I", info, LAST_DATA_RECEIVED_AT)
+    return float(age_ms)
+
+
 def end_sending(transport: asyncio.Transport) -> None:
     """Now, not in a later turn of the loop, as closing the transport would."""
     if transport.is_closing():
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -539,11 +539,13 @@
     run(test())
 
 
+@pytest.mark.parametrize("told", [True, False])
 def test_what_lay_in_the_kernel_has_its_time_from_when_reading_paused(
-    script: type[Script], monkeypatch: pytest.MonkeyPatch
+    script: type[Script], monkeypatch: pytest.MonkeyPatch, told: bool
 ) -> None:
-    """And what comes long after the pause has all of its time."""
+    """Or from when it came, where the kernel tells."""
     clock = [0.0]
+    monkeypatch.setattr(frontend_module, "last_arrival_ms", lambda _: clock[0] if told else None)
     monkeypatch.setattr(frontend_module, "now_ms", lambda: now_ms() + clock[0])
     monkeypatch.setattr(request_module, "now_ms", lambda: now_ms() + clock[0])
     script.act = each(Arrival, lambda e: [Send(e.request, "s0", 9000.0)] * (e.request == "c1"))
