Send what the libraries log by the program's own way

Cause: the same mistake as in the program's log, elsewhere: asyncio and uvloop warn through logging's last resort, which writes to sys.stderr and waits for a pipe that nobody reads. Found by looking for all writes to standard error. Change: a handler at the root hands their lines to the program's logger. Measured: a test of the handler; which warning a loop would write was not forced.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -27,7 +27,7 @@
 from flintlatch.net.peers import Peers, Tier
 from flintlatch.net.pieces import in_pieces, read, without
 from flintlatch.net.request import Reader
-from flintlatch.net.telemetry import Telemetry, log
+from flintlatch.net.telemetry import Telemetry, log, take_library_logs
 from flintlatch.settings import (
     Malformed,
     Message,
@@ -282,6 +282,7 @@
     for early in (signal.SIGHUP, signal.SIGUSR1):  # until the loop has its handlers: the file is read below
         signal.signal(early, signal.SIG_IGN)
     gc.disable()  # until all is made: next to nothing of it is to be thrown away
+    take_library_logs()
     until = time.monotonic() + START_PATIENCE_S
     try:
         config = patiently(lambda: Config(dict(os.environ)), until)
--- a/flintlatch/net/telemetry.py
+++ b/flintlatch/net/telemetry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import select
 from collections import Counter, deque
@@ -65,6 +66,18 @@
 log = Logger()
 
 
+class LibraryHandler(logging.Handler):
+    """What the libraries log, by the same way: theirs would wait for a pipe that nobody reads."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        log(f"{record.name}: {record.getMessage()}")
+
+
+def take_library_logs() -> None:
+    """Once, at the start of the program."""
+    logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING)
+
+
 class RequestEvent(NamedTuple):
     """One step in the life of a request."""
 
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any, NamedTuple
 
 import pytest
@@ -19,7 +20,7 @@
     Settings,
 )
 from flintlatch.net import engine as engine_module
-from flintlatch.net.telemetry import Telemetry
+from flintlatch.net.telemetry import LibraryHandler, Telemetry
 from flintlatch.rules import Denial, Violation, may_close, may_refuse, repeat_denial, send_denial
 from tests.loopback import proxy, run
 
@@ -128,6 +129,12 @@
     assert "request c1" in line and "attempt_ended error" in line
 
 
+def test_what_libraries_log_takes_the_same_way(capfd: pytest.CaptureFixture[str]) -> None:
+    record = logging.LogRecord("asyncio", logging.WARNING, "", 0, "socket.%s() raised", ("send",), None)
+    LibraryHandler().emit(record)
+    assert capfd.readouterr().err == "flintlatch: asyncio: socket.send() raised\n"
+
+
 def test_counters_are_told_when_they_have_changed(capfd: pytest.CaptureFixture[str]) -> None:
     telemetry = Telemetry()
     telemetry.note("c1", "answered", "served")
