--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -58,13 +58,13 @@
             await process.wait()
 
 
-@pytest.mark.parametrize("log", ["full", "closed", "unread"])
+@pytest.mark.parametrize("log", ["full", "closed", "closed later", "unread"])
 def test_a_log_that_cannot_be_written_changes_nothing_else(tmp_path: Path, log: str) -> None:
     """A disk without room, a reader that has gone, and one that reads nothing."""
 
     async def test() -> None:
         backend, later, registry = [await Peer().open() for _ in range(3)]
-        config = configuration(registry.address, target("s", backend.address))
+        config = configuration(registry.address, target("s", backend.address), list_mode="push")
         config["listen"] = free_address()
         reads, writes = os.pipe()
         if log == "full":
@@ -72,7 +72,7 @@
             writes = os.open("/dev/full", os.O_WRONLY)
         if log in ("full", "closed"):
             os.close(reads)
-        else:
+        elif log == "unread":
             os.set_blocking(writes, False)
             with pytest.raises(BlockingIOError):
                 while True:
@@ -84,6 +84,8 @@
             ended = asyncio.ensure_future(process.wait())
             await asyncio.wait((call, ended), return_when=asyncio.FIRST_COMPLETED)
             assert process.returncode is None
+            if log == "closed later":
+                os.close(reads)
             (await call).reply(status=503)  # a failed call is logged, and made again
             (await registry.calls.get()).reply(json.dumps(listing(2, target("t", later.address))).encode())
             await registry.calls.get()
