--- a/soak/run.py
+++ b/soak/run.py
@@ -213,12 +213,7 @@
         if not proxy.up():
             return
         proxy.send(signal.SIGTERM if planned else signal.SIGKILL)
-        try:
-            async with asyncio.timeout(TERM_SLACK_S):
-                await asyncio.shield(proxy.ended())
-        except TimeoutError:
-            proxy.send(signal.SIGKILL)
-            await proxy.ended()
+        await self.wait_for_end(proxy)
         await asyncio.sleep(self.random.uniform(0.05, 0.5))
         # Of its own: what else was drawn by then depends on the order of events.
         random = Random(f"{self.plan.seed} {proxy.number} {proxy.lives}")
