--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -23,6 +23,7 @@
     TimerFired,
 )
 from flintlatch.choice import BEAT_MS, Balancer
+from flintlatch.slow_start import SlowStart
 from tests.support import settings
 
 COLD_MS, WINDOW_MS, MULTIPLE, START = 24_000.0, 1000.0, 3.0, 0.16
@@ -155,6 +156,16 @@
     assert 0 < world.worst() <= 1
 
 
+@pytest.mark.parametrize(
+    ("clock_off_ms", "end"), [(-3_000.0, 3_000.0), (-8_000.0, 6_000.0), (8_000.0, 6_000.0)]
+)
+def test_a_date_is_not_believed_past_a_short_cold_time(clock_off_ms: float, end: float) -> None:
+    """By such a date it would be warm, or not have started: the start is taken to be now."""
+    now, slow_start = 100_000.0, SlowStart(6_000.0)
+    slow_start.restarted(now, "s", now + clock_off_ms)
+    assert slow_start.end("s") == now + end
+
+
 @pytest.mark.parametrize("clock_off_ms", [-HOUR_MS, HOUR_MS])
 @pytest.mark.parametrize("proxies", [3, 30])
 def test_cold_servers_hold_where_all_proxies_start_anew_by_a_clock_that_is_off(
