Believe no date of a start that lies past the cold time

Cause: SlowStart.restarted believed any date of the last 15 s, so that a clock off by seconds made a backend warm at once where its cold time is shorter than that. Change: the date has to lie within the cold time too. At a cold time of 24 s nothing changes.

--- a/flintlatch/slow_start.py
+++ b/flintlatch/slow_start.py
@@ -41,7 +41,7 @@
         self.forget(name)
         if started is None or self.cold_ms <= 0:
             return
-        plausible = now - LIST_LATE_MS <= started <= now
+        plausible = now - min(LIST_LATE_MS, self.cold_ms) <= started <= now
         self.clock_is_right = self.clock_is_right or plausible
         self.ends[name] = (started if plausible else now) + self.cold_ms
 
