--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -20,6 +20,7 @@
 import uvloop
 
 from flintlatch.api import Settings
+from flintlatch.net.backends import OWN_LACK
 from flintlatch.net.discovery import Discovery, Saved, check_ip, read_saved
 from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import Frontend
@@ -52,20 +53,7 @@
 LEAST_SPARE = 24
 # What a call may lack for a moment, as Linux documents it. At the start it is made again for so long, well
 # within the time in which a proxy has to be ready.
-MOMENTARY = frozenset(
-    (
-        errno.EADDRNOTAVAIL,
-        errno.EAGAIN,
-        errno.EINTR,
-        errno.EIO,
-        errno.EMFILE,
-        errno.ENETDOWN,
-        errno.ENETUNREACH,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-    )
-)
+MOMENTARY = OWN_LACK | {errno.EAGAIN, errno.EINTR, errno.EIO}
 START_PATIENCE_S = 5.0
 START_RETRY_S = 0.05
 PEERS_RETRY_S = 1.0
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -9,7 +9,7 @@
 
 from flintlatch.api import NEVER_RAN, Result, ServerInfo, ServerState
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import Target, pack, unpack
+from flintlatch.net.discovery import Target, pack, place_of, unpack
 from flintlatch.net.http1 import Exchange, Response, unread
 from flintlatch.net.table import Table
 from flintlatch.rules import Denial
@@ -21,6 +21,7 @@
 
 # How an attempt ends that may not be written. That this proxy was too slow for it is not the backend's doing.
 DENIED = {Denial.BACKEND_LEFT: Result.CONNECT_FAILED, Denial.TIME_OVER: Result.NO_ROOM}
+# What this proxy may lack for a moment: no doing of the backend that it wanted to reach.
 OWN_LACK = frozenset(
     (
         errno.EADDRNOTAVAIL,
@@ -211,8 +212,7 @@
     def start(self, attempt: Attempt) -> None:
         known = self.targets.get(attempt.uid)
         if known is not None:
-            info = unpack(attempt.uid, known).info
-            attempt.zone, attempt.cell = info.zone, info.cell
+            attempt.zone, attempt.cell = place_of(known)
         denial = self._denial(attempt)
         if denial is not None or known is None:
             attempt.end(DENIED.get(denial or Denial.BACKEND_LEFT, Result.NOT_SENT))
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -69,6 +69,12 @@
     return Target(uid, host.decode(), port, ServerInfo(uid, ServerState.ACTIVE, *traits))
 
 
+def place_of(known: Known) -> tuple[int, int]:
+    """Zone and cell, without the rest."""
+    traits = loads(known)
+    return traits[2], traits[4]
+
+
 class Listing(NamedTuple):
     rev: int
     whole: bool
--- a/flintlatch/rules.py
+++ b/flintlatch/rules.py
@@ -98,6 +98,8 @@
     settings: Settings, spec: RequestClass, earlier: Sequence[Earlier], now: float
 ) -> Denial | None:
     """Whether a request of this class may be sent once more, wherever; None if it may."""
+    if not earlier:
+        return None
     if len(earlier) >= settings.most_attempts:
         return Denial.TOO_MANY_ATTEMPTS
     if not settings.may_duplicate and any(attempt.open for attempt in earlier):
