Write a program's configuration in one place of the tests, and drop what nothing uses

Read once more at the end: test_faults.py had a copy of test_program.py's write, which is in tests/loopback.py now, with the same assertions; the soak had a constant and a parameter without a user; a comment of slow_start.py stood inside parentheses. No behaviour changes.

--- a/flintlatch/slow_start.py
+++ b/flintlatch/slow_start.py
@@ -10,9 +10,8 @@
 
 from math import inf
 
-LIST_LATE_MS = (
-    15_000.0  # a list may be so late: a start that it has just told of is no older by a clock that is right
-)
+# A list may be so late: a start that it has just told of is no older by a clock that is right.
+LIST_LATE_MS = 15_000.0
 
 
 class SlowStart:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -14,7 +14,6 @@
 from soak.proxies import ProxyProcess
 from soak.records import BadClient, Journal, Lane, Request
 
-SERVED = 200
 NEW_AFTER_STOP_S = 0.3  # after SIGTERM, in which new connections still come
 PIECES = 3  # of a request that is written slowly
 LEAST_BUDGET = 0.7  # part of its class's deadline that a client waits
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -67,10 +67,10 @@
         self.reader: asyncio.Task[None] | None = None
         self.lives = 0
 
-    def write(self, data: bytes | None = None) -> None:
-        """The configuration as it is now, or other bytes in its place, put there whole."""
+    def write(self) -> None:
+        """The configuration as it is now, put there whole."""
         partial = self.path.with_suffix(".new")
-        partial.write_bytes(orjson.dumps(self.configure(self.number)) if data is None else data)
+        partial.write_bytes(orjson.dumps(self.configure(self.number)))
         partial.rename(self.path)
 
     async def start(self, environment: dict[str, str]) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import socket
 import struct
 import tempfile
@@ -191,6 +192,13 @@
     }
 
 
+def write_configuration(folder: Path, config: Any) -> dict[str, str]:
+    """A file for a program; the environment to start it in."""
+    path = folder / "config.json"
+    path.write_text(config if isinstance(config, str) else json.dumps(config))
+    return {k: v for k, v in os.environ.items() if not k.startswith("LB_")} | {"LB_CONFIG": str(path)}
+
+
 class Gate:
     """Stands in for the loop of the connections to backends: each comes up only once the test says so."""
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from tests.loopback import Client, Peer, configuration, listing, run, target
+from tests.loopback import Client, Peer, configuration, listing, run, target, write_configuration
 
 RELOAD_S = 20.0  # far beyond the 4 s in which a move has to take effect
 
@@ -27,13 +27,6 @@
         return "{}:{}".format(*sock.getsockname())
 
 
-def write(folder: Path, config: dict[str, Any]) -> dict[str, str]:
-    path = folder / "config.json"
-    path.write_text(json.dumps(config))
-    kept = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
-    return kept | {"LB_CONFIG": str(path)}
-
-
 async def connected(address: str) -> Client:
     """As soon as the program listens there."""
     while True:
@@ -48,7 +41,10 @@
     folder: Path, config: dict[str, Any], *arguments: str, stderr: int
 ) -> AsyncIterator[asyncio.subprocess.Process]:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, *(arguments or ("-m", "flintlatch")), env=write(folder, config), stderr=stderr
+        sys.executable,
+        *(arguments or ("-m", "flintlatch")),
+        env=write_configuration(folder, config),
+        stderr=stderr,
     )
     try:
         yield process
@@ -179,7 +175,7 @@
         ) as process:
             assert process.stderr is not None
             await first.calls.get()
-            write(tmp_path, configuration(second.address, target("s", "127.0.0.1:1")))
+            write_configuration(tmp_path, configuration(second.address, target("s", "127.0.0.1:1")))
             process.send_signal(signal.SIGHUP)
             asked = asyncio.ensure_future(second.calls.get())
             refused = asyncio.ensure_future(process.stderr.readuntil(b"going on as before\n"))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,18 +16,22 @@
 import pytest
 
 from flintlatch.__main__ import Config, places
-from tests.loopback import LIMIT_S, Client, Peer, configuration, listing, request, run, target
+from tests.loopback import (
+    LIMIT_S,
+    Client,
+    Peer,
+    configuration,
+    listing,
+    request,
+    run,
+    target,
+    write_configuration,
+)
 
 GOOD = configuration("127.0.0.1:1")
 COMMAND = [sys.executable, "-m", "flintlatch"]
 
 
-def write(folder: Path, config: Any) -> dict[str, str]:
-    path = folder / "config.json"
-    path.write_text(config if isinstance(config, str) else json.dumps(config))
-    return {k: v for k, v in os.environ.items() if not k.startswith("LB_")} | {"LB_CONFIG": str(path)}
-
-
 TOLD = configuration("127.0.0.1:1", Peers=True) | {
     "peer_listen": "127.0.0.1:1",
     "peers": ["127.0.0.1:1"],
@@ -79,7 +83,12 @@
 )
 def test_a_bad_configuration_ends_it_with_one_plain_line(tmp_path: Path, config: Any, words: str) -> None:
     done = subprocess.run(
-        COMMAND, env=write(tmp_path, config), capture_output=True, text=True, timeout=LIMIT_S, check=False
+        COMMAND,
+        env=write_configuration(tmp_path, config),
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+        check=False,
     )
     assert done.returncode == 2
     assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
@@ -93,7 +102,12 @@
         config = configuration("127.0.0.1:1", list_mode="push")
         config["listen"] = "{}:{}".format(*taken.getsockname())
         done = subprocess.run(
-            COMMAND, env=write(tmp_path, config), capture_output=True, text=True, timeout=LIMIT_S, check=False
+            COMMAND,
+            env=write_configuration(tmp_path, config),
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_S,
+            check=False,
         )
     assert done.returncode == 2 and "in use" in done.stderr
     assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
@@ -104,7 +118,9 @@
         lane = {"Name": "a", "AimMs": 300, "HardLimitMs": 900, "Effect": "read_like"}
         info = value | {"Lanes": [lane | ({"Points": None, "KeyScope": None} if value else {})]}
         return Config(
-            write(tmp_path, GOOD | {"settings": info, "limits": {"sockets": None} if value else {}})
+            write_configuration(
+                tmp_path, GOOD | {"settings": info, "limits": {"sockets": None} if value else {}}
+            )
         )
 
     parts = {
@@ -138,7 +154,7 @@
         backend = await Peer().open()
         program = await asyncio.create_subprocess_exec(
             *COMMAND,
-            env=write(tmp_path, configuration("127.0.0.1:1", target("s", backend.address))),
+            env=write_configuration(tmp_path, configuration("127.0.0.1:1", target("s", backend.address))),
             stderr=asyncio.subprocess.PIPE,
             preexec_fn=few_descriptors,
         )
@@ -184,7 +200,10 @@
         config = configuration(address, *known, sockets=sockets, list_mode="push", Peers=True)
         config |= {"peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1"], "peers_all": "127.0.0.1:1"}
         program = await asyncio.create_subprocess_exec(
-            *COMMAND, env=write(tmp_path, config), stderr=asyncio.subprocess.PIPE, preexec_fn=few_descriptors
+            *COMMAND,
+            env=write_configuration(tmp_path, config),
+            stderr=asyncio.subprocess.PIPE,
+            preexec_fn=few_descriptors,
         )
         assert program.stderr is not None
         while " listens on " not in (line := (await program.stderr.readline()).decode()):
@@ -249,7 +268,7 @@
             known = [target(f"s{number}", backend.address) for number in range(backends)]
             program = await asyncio.create_subprocess_exec(
                 *COMMAND,
-                env=write(tmp_path, configuration(where, *known, list_mode=mode)),
+                env=write_configuration(tmp_path, configuration(where, *known, list_mode=mode)),
                 stderr=asyncio.subprocess.PIPE,
             )
             assert program.stderr is not None
@@ -281,7 +300,11 @@
         gc.enable = lambda: (on(), print("enable"), os.kill(os.getpid(), signal.SIGTERM))
         sys.exit(program.main())"""
     done = subprocess.run(
-        [sys.executable, "-c", code], env=write(tmp_path, GOOD), capture_output=True, text=True, check=False
+        [sys.executable, "-c", code],
+        env=write_configuration(tmp_path, GOOD),
+        capture_output=True,
+        text=True,
+        check=False,
     )
     assert done.stdout.split("\n")[:3] == ["step False", "freeze", "enable"] and done.returncode == 0
 
@@ -291,7 +314,7 @@
         backend = await Peer().open()
         config = configuration("127.0.0.1:1", target("s", backend.address))
         program = await asyncio.create_subprocess_exec(
-            *COMMAND, env=write(tmp_path, config), stderr=asyncio.subprocess.PIPE
+            *COMMAND, env=write_configuration(tmp_path, config), stderr=asyncio.subprocess.PIPE
         )
         assert program.stderr is not None
         line = (await program.stderr.readline()).decode()
@@ -325,13 +348,15 @@
     async def test() -> None:
         first, second, old, new = [await Peer().open() for _ in range(4)]
         known = target("s", old.address)
-        env = write(tmp_path, configuration(first.address, known)) | {"LB_DISCOVERY": first.address}
+        env = write_configuration(tmp_path, configuration(first.address, known)) | {
+            "LB_DISCOVERY": first.address
+        }
         program = await asyncio.create_subprocess_exec(*COMMAND, env=env, stderr=asyncio.subprocess.PIPE)
         assert program.stderr is not None
         address = (await program.stderr.readline()).decode().split()[-1]
         watch = await first.calls.get()
         assert "?since=1&" in watch.line
-        write(tmp_path, configuration(second.address, known))
+        write_configuration(tmp_path, configuration(second.address, known))
         program.send_signal(signal.SIGHUP)
         call = await second.calls.get()
         assert call.line == "GET /registry/instances HTTP/1.1"
@@ -346,7 +371,7 @@
         client.send()
         (await new.calls.get()).reply(b"by the new one")
         assert (await client.reply()).body == b"by the new one"
-        write(tmp_path, "{")
+        write_configuration(tmp_path, "{")
         program.send_signal(signal.SIGHUP)
         while "reload: " not in (line := (await program.stderr.readline()).decode()):
             assert "going on" not in line and "bug" not in line
@@ -354,7 +379,7 @@
         program.send_signal(signal.SIGTERM)
         while "stopping" not in (await program.stderr.readline()).decode():
             pass
-        write(tmp_path, configuration(first.address, known))
+        write_configuration(tmp_path, configuration(first.address, known))
         program.send_signal(signal.SIGHUP)
         assert (await first.calls.get()).line == "GET /registry/instances HTTP/1.1"
         client.close()
@@ -368,7 +393,7 @@
 
 def reading_its_configuration(folder: Path) -> tuple[subprocess.Popen[str], Path]:
     """A program that waits for what its configuration says, once that is open for writing."""
-    env = write(folder, "")
+    env = write_configuration(folder, "")
     config = folder / "config.json"
     config.unlink()
     os.mkfifo(config)
