--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,22 +1,23 @@
-"""Case 1: clients that send many requests at once make the proxy exceed its memory limit."""
+"""Case 1: clients that send hundreds of requests at once make the proxy exceed its memory limit."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
+import sys
+from pathlib import Path
 
 from common.case import Case, main
 from common.clients import Connection, Request
 from common.parties import Backend, Discovery
 from common.platform import Proxy, has_trouble
 
-MEMORY_MB = 192  # the most that the pages name for a scored day
-DESCRIPTORS = 1024  # the most that the pages name for a scored day
+MEMORY_MB = 96  # the pages name 32 to 192 MB
+DESCRIPTORS = 512  # the pages name 256 to 1,024
 USUAL_CLIENTS = 20  # one request at a time each
 USUAL_PAUSE_S = 0.15  # between an answer and the next request of a usual client
-BAD_CLIENTS = 200  # with the usual ones well under a third of the descriptors
+BAD_CLIENTS = 120  # with the usual ones under a third of the descriptors
 REQUESTS_AT_ONCE = 200  # of each bad client
-HEADER_LINES = 3000  # of each request of a bad client, 5 bytes each: a head of 15 KiB
 CALM_S = 2.0
 TROUBLE_S = 6.0
 SERVICE_S = 0.06
@@ -40,7 +41,7 @@
     memory = asyncio.create_task(watch_memory(case, proxy))
     usual = [asyncio.create_task(usual_client(case, proxy, number)) for number in range(USUAL_CLIENTS)]
     await asyncio.sleep(CALM_S)
-    bad = [asyncio.create_task(bad_client(case, proxy)) for _ in range(BAD_CLIENTS if has_trouble() else 0)]
+    bad = [asyncio.create_task(run_bad_clients(case, proxy))] if has_trouble() else []
     await asyncio.sleep(TROUBLE_S)
     for task in (*usual, *bad, memory):
         task.cancel()
@@ -82,16 +83,22 @@
         await asyncio.sleep(USUAL_PAUSE_S)
 
 
-async def bad_client(case: Case, proxy: Proxy) -> None:
-    """Send many requests with long heads at once, and read all that comes."""
-    lines = b"".join(b"%02x:\r\n" % (index % 256) for index in range(HEADER_LINES))
-    requests = [Request("ficha", 2500, extra_headers=lines) for _ in range(REQUESTS_AT_ONCE)]
-    reader, writer = await asyncio.open_connection(*proxy.address)
-    case.record.write(f"a bad client sends {len(requests)} requests at once, first {requests[0].request_id}")
-    writer.write(b"".join(request.encode() for request in requests))
-    while await reader.read(65536):
-        pass
-    writer.close()
+async def run_bad_clients(case: Case, proxy: Proxy) -> None:
+    """Run the program of the bad clients; it is killed if it still runs at the end of the case."""
+    arguments = [*proxy.address, BAD_CLIENTS, REQUESTS_AT_ONCE]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(Path(__file__).with_name("bad_clients.py")),
+        *map(str, arguments),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        output, _ = await process.communicate()
+        case.record.say(output.decode().strip())
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
 
 
 if __name__ == "__main__":
