--- a/dunecove/policy/queue_timeouts.py
+++ b/dunecove/policy/queue_timeouts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 
 from dunecove.policy.latency_tracker import LatencyTracker
 from dunecove.policy.request import Attempt, Request
@@ -13,6 +13,9 @@
 # A request without any attempt fails after this fraction of the time from its arrival to its deadline, so
 # that its client has time left for a retry.
 MAX_UNSENT_WAIT_FRACTION = 0.45
+# Checks of finished requests are removed once there are more checks than this, and twice as many as were left
+# after the last removal.
+MIN_REMOVAL_COUNT = 256
 
 
 class QueueTimeouts:
@@ -23,11 +26,20 @@
         self._latencies = latencies
         self._timers: list[tuple[float, int, Request]] = []  # heap of (due time, sequence number, request)
         self._timer_count = 0
+        self._removal_count = MIN_REMOVAL_COUNT  # number of timers at which to remove those not needed
 
     def schedule(self, due_at: float, request: Request) -> None:
         """Schedule the next check of a request."""
         self._timer_count += 1
         heappush(self._timers, (due_at, self._timer_count, request))
+        if len(self._timers) > self._removal_count:
+            self._remove_finished()
+
+    def _remove_finished(self) -> None:
+        """Remove the checks of finished requests, which would keep them in memory until their deadlines."""
+        self._timers = [timer for timer in self._timers if not timer[2].is_finished]
+        heapify(self._timers)
+        self._removal_count = max(2 * len(self._timers), MIN_REMOVAL_COUNT)
 
     def pop_due(self, now: float) -> Request | None:
         """Remove and return a request whose check is due; None if there is none."""
--- a/tests/policy/test_queue_timeouts.py
+++ b/tests/policy/test_queue_timeouts.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import weakref
+
 from dunecove.policy.actions import Fail
+from dunecove.policy.events import ClientDisconnected
+from dunecove.policy.request import Request
 from dunecove.policy.settings import RequestClass
 from tests.support import Driver, actions_of_type, make_backends, make_settings
 
@@ -44,3 +48,20 @@
     driver = Driver(make_settings())
     request_id = driver.send_request(timeout_ms=200)
     assert [fail.request_id for fail in actions_of_type(Fail, driver.run_ticks(175))] == [request_id]
+
+
+def test_ended_requests_do_not_stay_in_memory_until_their_deadlines() -> None:
+    """Failure: each request kept its memory for its whole objective, also after its response."""
+    settings = make_settings(RequestClass(20_000.0, 30_000.0))
+    served, queued = Driver(settings, *make_backends(2)), Driver(settings)
+    waiting = queued.send_request(timeout_ms=30_000)  # at the head of its queue, for lack of a backend
+    references: list[weakref.ref[Request]] = []
+    for _ in range(5000):
+        request_id = served.send_request(timeout_ms=30_000)
+        references.append(weakref.ref(served.balancer.requests[request_id]))
+        served.end_attempt(request_id, elapsed_ms=1.0)
+        request_id = queued.send_request(timeout_ms=30_000)
+        references.append(weakref.ref(queued.balancer.requests[request_id]))
+        queued.step(ClientDisconnected(request_id))
+    assert sum(reference() is not None for reference in references) < 2000
+    assert list(queued.balancer.requests) == [waiting] and not served.balancer.requests
