Bound the memory of all connections together by the platform's limit

The rest were ended requests: an attempt's callbacks referred to its request and the request to its attempts, so that bodies were freed only by the garbage collector and their holes filled with small objects. The same cause elsewhere: heads of 2,900 short lines (objects of 27 times their text, clients and backends alike), responses being received or unread, requests that backends don't read, the number of connections and of remembered ids, whatever the memory limit.

Change. limits.py divides memory_mb and the descriptors: process, connections, lists, requests, responses. Each connection has an account (memory_budget.py) and reads into a shared buffer no more than it may hold (bounded_protocol.py). A request without memory waits in the kernel behind its connection's own unanswered ones; otherwise its body is discarded and it gets 503 with Retry-After, at its place in the order. A response without memory waits in the kernel, in order of arrival. Clients that read nothing for 1 s are aborted while responses wait. An ordinary short message needs no budget. A message may have 100 headers. An ended attempt drops its text and its callbacks. A connection that fills its read lets the others read first.

--- a/dunecove/config.py
+++ b/dunecove/config.py
@@ -1,4 +1,4 @@
-"""The configuration of a proxy, read from the environment and a JSON file, and its connection limits."""
+"""The configuration of a proxy, read from the environment and a JSON file."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from math import inf
-from typing import Any, NamedTuple
+from typing import Any
 
 import orjson
 
@@ -33,24 +33,6 @@
 DEFAULT_MAX_DESCRIPTORS = 1024
 DEFAULT_MEMORY_MB = 192
 MIN_DESCRIPTORS = 32  # with fewer, hardly any client could be served
-# Descriptors for the program itself, for discovery and for connections that are being closed.
-RESERVED_DESCRIPTORS = 40
-# Below 160 descriptors a quarter of them is reserved, but at least this number. The assumption is that a
-# running program has 16 open itself, including those for peers and discovery; the other 8 are for connections
-# that are accepted or opened while others are still being closed.
-MIN_RESERVED_DESCRIPTORS = 24
-# Fraction of the unreserved descriptors for backend connections; the others are for client connections. The
-# assumption is that requests hold at most a third of all descriptors as client connections and, with one
-# attempt at a time per request, at most as many as backend connections. The rest is for client connections
-# that are idle or have not yet sent a request.
-BACKEND_SHARE = 0.42
-
-
-class ConnectionLimits(NamedTuple):
-    """The maximum numbers of open connections."""
-
-    clients: int
-    backends: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +47,7 @@
     proxy_settings: ProxySettings
     cached_list: CachedEndpointList
     max_descriptors: int
-    memory_mb: float  # memory limit of the process (MiB), which bounds the size of endpoint lists
+    memory_mb: float  # memory limit of the process (MiB), which is divided in `limits`
     peer_addresses: PeerAddresses | None  # None: no gossip
 
 
@@ -87,14 +69,6 @@
         raise ConfigurationError(f"{path}: {error}") from None
 
 
-def connection_limits(max_descriptors: int) -> ConnectionLimits:
-    """Return the maximum numbers of client and backend connections."""
-    reserved = max(min(RESERVED_DESCRIPTORS, max_descriptors // 4), MIN_RESERVED_DESCRIPTORS)
-    available = max_descriptors - reserved
-    backends = int(available * BACKEND_SHARE)
-    return ConnectionLimits(available - backends, backends)
-
-
 def _read_outline(path: str) -> tuple[JsonObject, bool]:
     """Return the configuration without those cached list entries that are in slices, and if there are any."""
     try:
--- a/dunecove/proxy/attempt.py
+++ b/dunecove/proxy/attempt.py
@@ -20,6 +20,10 @@
     return None
 
 
+def _ignore_end(_: Attempt, result: AttemptResult, response: Response | None) -> None:
+    pass
+
+
 class Attempt:
     """One attempt at one backend; `on_end` is called exactly once, at its end. Times are ms of `now_ms`."""
 
@@ -83,4 +87,15 @@
         if self.connection is not None:
             self.connection.attempt = None
         self.connection = None
-        self.on_end(self, result, response)
+        on_end = self.on_end
+        # These refer to the request, which refers to this attempt: its memory would be freed only by the
+        # garbage collector.
+        self.on_end = _ignore_end
+        self.check_denial = _never_denied
+        self.release_content()
+        on_end(self, result, response)
+
+    def release_content(self) -> None:
+        """Drop the request's text, which has been written or never will be."""
+        self.head = b""
+        self.body = b""
--- a/dunecove/proxy/backend_connection.py
+++ b/dunecove/proxy/backend_connection.py
@@ -7,8 +7,10 @@
 
 from dunecove.policy.models import AttemptResult
 from dunecove.proxy.attempt import Attempt
+from dunecove.proxy.bounded_protocol import READ_BYTES
 from dunecove.proxy.clock import now_ms
 from dunecove.proxy.http_exchange import HttpExchange, Response
+from dunecove.proxy.memory_budget import MemoryAccount, MemoryBudget
 
 if TYPE_CHECKING:
     from dunecove.proxy.backend_connections import BackendConnections
@@ -16,6 +18,7 @@
 # A response with one of these statuses and this header guarantees that the request was not executed.
 REJECTED_STATUSES = (503, 504)
 REJECTED_HEADER = b"x-rejected"
+FIRST_READ_BYTES = 4096  # of a response, while there is no memory for any length
 
 
 class ConnectionOwner(Protocol):
@@ -45,9 +48,15 @@
     """A connection to one backend at one address, open or being opened."""
 
     def __init__(
-        self, owner: ConnectionOwner, backend_connections: BackendConnections, address: tuple[str, int]
+        self,
+        owner: ConnectionOwner,
+        backend_connections: BackendConnections,
+        address: tuple[str, int],
+        budget: MemoryBudget,
     ) -> None:
+        """Create a connection that is not open yet; `budget` is that for the content of responses."""
         super().__init__()
+        self._memory = MemoryAccount(budget)
         self.owner = owner
         self.backend_connections = backend_connections
         self.generation = backend_connections.generation  # if a later one has started, this is not reused
@@ -73,11 +82,25 @@
         attempt.connection = self
         attempt.sent_at = now_ms()
         budget_ms = max(1, int(attempt.deadline - now_ms()))
-        self.send_request(b"%bx-budget-ms: %d\r\n\r\n%b" % (attempt.head, budget_ms, attempt.body))
+        self.send_request(b"%bx-budget-ms: %d\r\n\r\n" % (attempt.head, budget_ms), attempt.body)
+
+    def read_bytes(self) -> int:
+        """Return how many bytes may be read: only what there is memory for, and never beyond a long body."""
+        if not self.is_awaiting_response or self._memory.budget.has_surplus():
+            return READ_BYTES
+        return max(self.missing_body_bytes(), FIRST_READ_BYTES)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse a part of the response; read no more of a long one until there is memory for all of it."""
+        super().data_received(data)
+        if self.is_awaiting_response and not self._memory.try_hold(self.memory_bytes()):
+            self.pause_reading()
+            self._memory.hold_later(self.memory_bytes(), self.resume_reading)
 
     def close(self) -> None:
         """Close the connection, or stop opening it."""
         super().close()
+        self._memory.release()
         if self.transport is None and self.connect_task is not None:
             self.connect_task.cancel()
 
@@ -92,9 +115,11 @@
         self.backend_connections.last_response_at = now_ms()
         self.owner.release(self)
         if attempt is None:
+            self._memory.release()
             return
         result = _result_of(response)
         attempt.end(result, response if result is AttemptResult.OK else None)
+        self._memory.release()  # once the client's connection holds what it could not send
 
     def on_failed(self) -> None:
         """End the attempt: the connection was lost, or the response is malformed."""
@@ -107,3 +132,4 @@
         """Remove the connection from the pool, then fail the attempt in progress, if any."""
         self.owner.discard(self)
         super().connection_lost(exc)
+        self._memory.release()
--- a/dunecove/proxy/client_connection.py
+++ b/dunecove/proxy/client_connection.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
+from math import inf
 from typing import cast
 
+from dunecove.limits import FREE_BYTES
 from dunecove.policy.request_rules import RESPONSE_GRACE_MS, Violation, may_close_connection
+from dunecove.proxy.bounded_protocol import READ_BYTES, BoundedProtocol
 from dunecove.proxy.client_messages import ClientResponse
 from dunecove.proxy.clock import now_ms
 from dunecove.proxy.connection_slots import ConnectionSlots
@@ -18,20 +20,21 @@
 from dunecove.proxy.engine import Engine
 from dunecove.proxy.http_limits import MAX_BODY_BYTES
 from dunecove.proxy.http_request import HttpRequest, RequestError, RequestReader
+from dunecove.proxy.memory_budget import MemoryAccount
 from dunecove.proxy.receive_buffer import ReceiveBuffer, ReceivedChunk
+from dunecove.proxy.request_pipeline import RequestPipeline, memory_bytes
 from dunecove.proxy.request_validator import RequestValidator
 from dunecove.proxy.socket_probe import has_unread_input, is_closed_by_peer, last_data_age_ms
 from dunecove.proxy.telemetry import CounterName
 
-MAX_PIPELINED = 2  # pending requests up to which parsing continues, whatever their size
-# Small requests are parsed further ahead, since their deadlines limit the time for the current request.
-MAX_PIPELINED_SMALL = 64
-MAX_PIPELINED_SMALL_BYTES = 16 * 1024
 PARSE_CHUNK_BYTES = 4096  # parsed at a time, so that a flood of requests is not parsed all at once
+# The same while there is no memory for more than one request: fewer of the shortest requests are in it.
+SCARCE_PARSE_CHUNK_BYTES = 256
 MAX_CONSECUTIVE_ERRORS = 8  # consecutive rejected requests after which a connection is closed
 LINGER_READ_TIMEOUT_S = 5.0  # time for a lingering client to read its last response
 MAX_LINGER_BYTES = 1024 * 1024  # received and discarded while lingering; any more abort the connection
 MAX_UNREAD_RESPONSE_BYTES = 2 * MAX_BODY_BYTES  # response bytes that a client may leave unread
+SHED_RESPONSE = ClientResponse(503, b"retry-after: 1\r\n")  # to a request for which there is no memory
 # Maximum time (ms) from the deadline of a pipelined request to its response: well within the grace period, in
 # which a late response is no violation.
 PIPELINED_GRACE_MS = RESPONSE_GRACE_MS / 2
@@ -68,7 +71,7 @@
         return not self.is_shutting_down and self.engine.connection_pool.active_count() > 0
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(BoundedProtocol):
     """The asyncio protocol of a client connection."""
 
     def __init__(
@@ -82,12 +85,19 @@
         `accept_delayed_since` is the time, in ms of `now_ms`, since which the connection may have waited in
         the backlog; 0: it has not waited.
         """
+        super().__init__()
         self.server = server
         self.transport: asyncio.Transport
         self.reader = RequestReader()
         self.buffer = ReceiveBuffer()
-        self.pending: deque[HttpRequest | RequestError] = deque()  # parsed but not dispatched yet
+        self.pending = RequestPipeline()
         self.request_id: str | None = None  # of the current request, which the engine processes
+        self._request_bytes = 0  # memory of the current request
+        self._budgets = server.engine.budgets
+        self._request_memory = MemoryAccount(self._budgets.requests)  # of all requests and unparsed input
+        self._unsent_memory = MemoryAccount(self._budgets.responses)
+        self.unread_since = 0.0  # time, in ms of `now_ms`, since which responses are unsent; 0: none is
+        self._has_memory = True  # for the request that is being read
         self.keep_alive = True  # whether the last dispatched request lets the connection stay open
         self.is_closing = False  # no further requests are read
         self.has_responded = False
@@ -104,6 +114,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Handle the opening of the connection."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=FREE_BYTES, low=0)
         self.server.slots.add(self)
 
     def eof_received(self) -> None:
@@ -116,14 +127,30 @@
         self._abandon_requests()
         self._record_close(CloseReason.CLIENT)
         self.reader.close()
+        self._request_memory.release()
+        self._unsent_memory.release()
         self._on_lost(self)
 
+    def pause_writing(self) -> None:
+        """Record that the client has left more than `FREE_BYTES` of its responses unread."""
+        self.unread_since = now_ms()
+
+    def resume_writing(self) -> None:
+        """Record that the kernel has accepted all responses."""
+        self.unread_since = 0.0
+        self._unsent_memory.release()
+
+    def read_bytes(self) -> int:
+        """Return how many bytes may be read: only what there is memory for, and never beyond a long body."""
+        if self.is_closing or self._budgets.requests.has_surplus():
+            return READ_BYTES
+        return max(self.reader.missing_body_bytes() if self._has_memory else 0, PARSE_CHUNK_BYTES)
+
     def data_received(self, data: bytes) -> None:
         """Handle received bytes."""
         if self.is_closing and self.has_unanswered_request():
             # If reading continued, a flood could get the connection aborted before its responses are written.
-            self.transport.pause_reading()
-            self.server.disconnect_watcher.watch(self)
+            self._pause_and_watch()
             return
         if self.is_closing:
             self.discarded_bytes += len(data)
@@ -194,7 +221,7 @@
         """Reject an incomplete request, or close the connection if no request has begun."""
         if self.reader.is_mid_request:
             if not self.is_closing:
-                self.pending.append(self.reader.time_out())
+                self.pending.extend([self.reader.time_out()])
                 self._stop_reading_requests()
             self._process()
         elif self.may_close():
@@ -212,6 +239,7 @@
         if self.request_id is not None:
             self.server.engine.requests.client_disconnected(self.request_id)
             self.request_id = None
+        self._request_bytes = 0
 
     def _record_close(self, reason: CloseReason) -> None:
         """Count the first reason for closing the connection.
@@ -240,7 +268,7 @@
         self.pending.clear()  # requests behind one that closes the connection get no response
         self._record_close(CloseReason.ANSWERED)
         self.server.disconnect_watcher.unwatch(self)
-        self.transport.resume_reading()
+        self.resume_reading()
         self.transport.write_eof()
         self.server.slots.mark_lingering(self)
 
@@ -268,9 +296,13 @@
         while not self.is_closing or self.pending:
             while self.request_id is None and self.pending:
                 self._dispatch(self.pending.popleft())
-            if not self.buffer or self.is_closing or not self._may_parse_ahead():
+            if not self.buffer or self.is_closing or not self._may_parse():
                 break
-            self._parse(self.buffer.pop(PARSE_CHUNK_BYTES))
+            self._parse(self.buffer.pop(self._parse_bytes()))
+        if not self.is_closing:
+            self._reserve_memory()
+        else:
+            self._request_memory.hold(self._memory_bytes())
         if self.server.slots.is_lingering(self) or self.transport.is_closing():
             return
         self._update_state()
@@ -287,33 +319,39 @@
             self.server.slots.mark_idle(self)
 
     def _update_reading(self) -> None:
-        """Pause reading while more than `PARSE_CHUNK_BYTES` are buffered, and resume it otherwise."""
-        if len(self.buffer) > PARSE_CHUNK_BYTES:
+        """Pause reading while enough is buffered or there is no memory, and resume it otherwise."""
+        max_buffered_bytes = PARSE_CHUNK_BYTES if self._budgets.requests.has_surplus() else 0
+        if len(self.buffer) > max_buffered_bytes or not self._has_memory:
             self.paused_since = self.paused_since or now_ms()
-            self.transport.pause_reading()
-            self.server.disconnect_watcher.watch(self)
+            self._pause_and_watch()
             return
         self.server.disconnect_watcher.unwatch(self)
         if self.paused_since and not has_unread_input(self.transport):
             self.paused_since = 0.0
-        self.transport.resume_reading()
+        self.resume_reading()
 
-    def _may_parse_ahead(self) -> bool:
-        pending_count = len(self.pending)
-        if pending_count < MAX_PIPELINED:
-            return True
-        if pending_count >= MAX_PIPELINED_SMALL:
+    def _pause_and_watch(self) -> None:
+        self.pause_reading()
+        self.server.disconnect_watcher.watch(self)
+
+    def _may_parse(self) -> bool:
+        if not self._has_memory and not self._reserve_memory():
+            return False
+        if self.pending.is_full():
             return False
-        requests = (pending for pending in self.pending if isinstance(pending, HttpRequest))
-        return sum(request.size_bytes() for request in requests) < MAX_PIPELINED_SMALL_BYTES
+        return not self.has_unanswered_request() or self._budgets.requests.has_surplus()
+
+    def _parse_bytes(self) -> int:
+        """Return how much to parse at once: a body as a whole, and otherwise few requests."""
+        has_surplus = self._budgets.requests.has_surplus()
+        chunk_bytes = PARSE_CHUNK_BYTES if has_surplus else SCARCE_PARSE_CHUNK_BYTES
+        return max(self.reader.missing_body_bytes(), chunk_bytes)
 
     def _shorten_current_deadline(self) -> None:
         """Limit the current request by the deadlines of those behind it: responses are sent in order."""
-        if self.request_id is None:
-            return
-        deadlines = [pending.deadline() for pending in self.pending if isinstance(pending, HttpRequest)]
-        if deadlines:
-            self.server.engine.requests.shorten_deadline(self.request_id, min(deadlines) + PIPELINED_GRACE_MS)
+        deadline = self.pending.earliest_deadline()
+        if self.request_id is not None and deadline < inf:
+            self.server.engine.requests.shorten_deadline(self.request_id, deadline + PIPELINED_GRACE_MS)
 
     def _parse(self, chunk: ReceivedChunk) -> None:
         completed = self.reader.feed(chunk.data, chunk.arrived_at)
@@ -322,6 +360,46 @@
         self.pending.extend(completed)
         if self.reader.has_failed:
             self._stop_reading_requests()
+        else:
+            self._reserve_memory()
+
+    # Memory
+
+    def _memory_bytes(self) -> int:
+        """Return what the requests and the unparsed input take, all of an incomplete body included."""
+        return (
+            self.buffer.memory_bytes()
+            + self.pending.memory_bytes
+            + self._request_bytes
+            + self.reader.memory_bytes()
+        )
+
+    def _reserve_memory(self) -> bool:
+        """Hold memory for all input; return False if the request that is being read has to wait for it.
+
+        It waits behind an unanswered request of its connection, which holds memory itself. If there is none,
+        its body is discarded and it is rejected, since nothing says when another client frees memory. A
+        short request is read in any case.
+        """
+        memory_bytes = self._memory_bytes()
+        is_short = self.reader.memory_bytes() <= FREE_BYTES
+        self._has_memory = self._request_memory.try_hold(memory_bytes) or is_short
+        if self._has_memory:
+            self._request_memory.hold(memory_bytes)
+        elif self.has_unanswered_request():
+            self._request_memory.hold(memory_bytes - self.reader.missing_memory_bytes())
+        else:
+            self._shed_request()
+            self._has_memory = True
+        return self._has_memory
+
+    def _shed_request(self) -> None:
+        error = self.reader.shed()
+        if error is not None:
+            self.pending.extend([error])
+            self._stop_reading_requests()
+        self._request_memory.hold(self._memory_bytes())
+        self.server.engine.telemetry.count(CounterName.REQUEST_SHED, "memory")
 
     # Responses
 
@@ -332,7 +410,10 @@
                 self.keep_alive = False
                 raise request
             self.keep_alive = request.keep_alive
-            self._route(request)
+            if request.is_shed:
+                self._send_response(SHED_RESPONSE)
+            else:
+                self._route(request)
             self.consecutive_errors = 0
         except RequestError as error:
             self.consecutive_errors += 1
@@ -356,11 +437,13 @@
         if not self.server.engine.requests.accept(validated):
             raise RequestError(400)
         self.request_id = validated.request_id
+        self._request_bytes = memory_bytes(request)
 
     def on_response(self, response: ClientResponse) -> None:
         """Send the engine's response to the current request and dispatch the next one."""
         if self.request_id is not None:
             self.request_id = None
+            self._request_bytes = 0
             self._send_response(response)
             self._process()
 
@@ -369,13 +452,23 @@
             return
         # During shutdown, pipelined requests are still served; the last response closes the connection.
         keep_alive = self.keep_alive and (not self.server.is_shutting_down or self._has_further_requests())
-        self.transport.write(_encode(response, keep_alive))
+        is_unread = bool(self.unread_since)
+        encoded = _encode(response, keep_alive)
+        self.transport.write(encoded)
         self.has_responded = True
+        if self.unread_since:
+            self._unsent_memory.hold(self._unsent_memory.held_bytes + len(encoded))
         if not keep_alive:
             self._linger()
-        elif self.transport.get_write_buffer_size() > MAX_UNREAD_RESPONSE_BYTES:
+        elif self._has_too_many_unsent_bytes(is_unread):
             self.abort(CloseReason.NOT_READING)
 
+    def _has_too_many_unsent_bytes(self, is_unread: bool) -> bool:
+        """Return whether to give up a client, whose earlier responses are unread if `is_unread`."""
+        if self.transport.get_write_buffer_size() > MAX_UNREAD_RESPONSE_BYTES:
+            return True
+        return is_unread and not self._budgets.responses.may_charge(0)
+
     def _has_further_requests(self) -> bool:
         """Return whether the client has sent anything after the current request."""
         return bool(self.pending or self.buffer) or has_unread_input(self.transport)
--- a/dunecove/proxy/connection_pool.py
+++ b/dunecove/proxy/connection_pool.py
@@ -19,6 +19,7 @@
     decode_location,
     encode_endpoint,
 )
+from dunecove.proxy.memory_budget import MemoryBudget
 from dunecove.proxy.sharded_table import ShardedTable
 
 # An idle connection is closed after this fraction of the backend's idle timeout: a request written while the
@@ -51,12 +52,20 @@
     """All connections to backends, and the endpoints to which they may be opened."""
 
     def __init__(
-        self, connect_timeout_ms: float, backend_idle_timeout_ms: float, max_connections: int
+        self,
+        connect_timeout_ms: float,
+        backend_idle_timeout_ms: float,
+        max_connections: int,
+        response_budget: MemoryBudget | None = None,
     ) -> None:
-        """Create a pool; backends close connections that are idle for `backend_idle_timeout_ms`."""
+        """Create a pool; backends close connections that are idle for `backend_idle_timeout_ms`.
+
+        `response_budget` limits the content of responses that are being received; None: nothing does.
+        """
         self.connect_timeout_s = connect_timeout_ms / 1000
         self.keepalive_ms = backend_idle_timeout_ms * KEEPALIVE_FRACTION
         self.max_connections = max_connections  # includes connections being opened
+        self.response_budget = MemoryBudget() if response_budget is None else response_budget
         self.connections: set[BackendConnection] = set()
         self.endpoints = ShardedTable()  # all active endpoints
         # Only backends that have connections, or had some at the last expiry check.
@@ -163,7 +172,7 @@
         self, attempt: Attempt, backend_connections: BackendConnections, encoded: EncodedEndpoint
     ) -> None:
         endpoint = decode_endpoint(attempt.backend_id, encoded)
-        connection = BackendConnection(self, backend_connections, endpoint.address)
+        connection = BackendConnection(self, backend_connections, endpoint.address, self.response_budget)
         connection.attempt = attempt
         attempt.connection = connection
         self.connections.add(connection)
--- a/dunecove/proxy/discovery_client.py
+++ b/dunecove/proxy/discovery_client.py
@@ -14,6 +14,7 @@
 
 import orjson
 
+from dunecove.limits import max_list_bytes
 from dunecove.proxy.addresses import split_address
 from dunecove.proxy.discovery_connection import DiscoveryConnection
 from dunecove.proxy.discovery_errors import (
@@ -45,12 +46,6 @@
 # is assumed to be slow only when the machine is.
 DRAIN_GRACE_FRACTION = 0.4
 MIN_PUSHED_TIMEOUT_MS = 200.0
-# The maximum size of a list, as a fraction of the memory that the process itself leaves free: a list that
-# replaces another briefly takes nearly three times its bytes, and running out of memory ends the process.
-LIST_MEMORY_FRACTION = 0.3
-PROCESS_MEMORY_MB = 32.0  # memory of the process without any list
-MIN_LIST_LIMIT_BYTES = 1024 * 1024
-BYTES_PER_MB = 1024 * 1024
 LONG_LIST_BYTES = 64 * 1024  # a longer list is read in slices
 LONG_LIST_ENDPOINTS = 1000  # while more endpoints than this are known, any snapshot is read in slices
 LIST_PATH = "/registry/instances"
@@ -82,14 +77,14 @@
         on_update: Callable[[EndpointListUpdate], None],
         on_failure: Callable[[str], None],
         pushed: bool = False,
-        memory_mb: float = PROCESS_MEMORY_MB,
+        memory_mb: float = 0.0,
         endpoints: ShardedTable | None = None,
     ) -> None:
         """Create a client of the service at `address`; without a `revision` it requests the whole list.
 
         `on_failure` is called with the reason as a text for the log. `pushed` means that the service is an
-        agent on this machine to which the list is pushed. `endpoints` is the table that `on_update` keeps up
-        to date.
+        agent on this machine to which the list is pushed. `memory_mb` is the memory limit of the process
+        (MiB), which limits the size of a list. `endpoints` is the table that `on_update` keeps up to date.
         """
         self.address = address
         self.proxy_settings = proxy_settings
@@ -97,8 +92,7 @@
         self.on_update = on_update
         self.on_failure = on_failure
         self.endpoints = ShardedTable() if endpoints is None else endpoints
-        max_list_bytes = int((memory_mb - PROCESS_MEMORY_MB) * BYTES_PER_MB * LIST_MEMORY_FRACTION)
-        self.max_list_bytes = max(max_list_bytes, MIN_LIST_LIMIT_BYTES)
+        self.max_list_bytes = max_list_bytes(memory_mb)
         max_timeout_ms = inf
         if pushed:
             max_timeout_ms = max(proxy_settings.drain_grace_ms * DRAIN_GRACE_FRACTION, MIN_PUSHED_TIMEOUT_MS)
--- a/dunecove/proxy/engine.py
+++ b/dunecove/proxy/engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import traceback
+from math import inf
 
 from dunecove.policy.actions import (
     Action,
@@ -38,6 +39,7 @@
 from dunecove.proxy.gossip import GossipChannel
 from dunecove.proxy.http_exchange import Response
 from dunecove.proxy.log_writer import log
+from dunecove.proxy.memory_budget import ContentBudgets
 from dunecove.proxy.request_lifecycle import RequestLifecycle
 from dunecove.proxy.telemetry import CounterName, Telemetry
 from dunecove.wire.settings import ProxySettings
@@ -50,15 +52,30 @@
     """Collects events, passes them to the balancer once per loop iteration, and executes its actions."""
 
     def __init__(
-        self, settings: Settings, proxy_settings: ProxySettings, seed: int, max_backend_connections: int
+        self,
+        settings: Settings,
+        proxy_settings: ProxySettings,
+        seed: int,
+        max_backend_connections: int,
+        budgets: ContentBudgets | None = None,
+        max_recent_ids: float = inf,
     ) -> None:
-        """Create an engine without backends; requires a running event loop."""
+        """Create an engine without backends; requires a running event loop.
+
+        `budgets` limit the content of messages (None: nothing does), `max_recent_ids` the remembered ids.
+        """
+        self.budgets = ContentBudgets.unlimited() if budgets is None else budgets
         self.telemetry = Telemetry()
         self.balancer = Balancer(settings, seed)
         self.connection_pool = ConnectionPool(
-            proxy_settings.connect_timeout_ms, proxy_settings.backend_idle_timeout_ms, max_backend_connections
+            proxy_settings.connect_timeout_ms,
+            proxy_settings.backend_idle_timeout_ms,
+            max_backend_connections,
+            self.budgets.responses,
+        )
+        self.requests = RequestLifecycle(
+            settings, self.connection_pool, self.telemetry, self._raise_event, max_recent_ids
         )
-        self.requests = RequestLifecycle(settings, self.connection_pool, self.telemetry, self._raise_event)
         self.cached_list_feed = CachedListFeed(self.connection_pool)
         self.discovery: DiscoveryClient | None = None
         self.gossip: GossipChannel | None = None
--- a/dunecove/proxy/http_exchange.py
+++ b/dunecove/proxy/http_exchange.py
@@ -7,10 +7,13 @@
 
 import httptools
 
+from dunecove.proxy.bounded_protocol import BoundedProtocol
 from dunecove.proxy.http_limits import (
     CHUNK_FRAMING_FACTOR,
+    HEADER_OVERHEAD_BYTES,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_HEADERS,
     MAX_LENGTH_DIGITS,
     Headers,
 )
@@ -39,7 +42,7 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
-class HttpExchange(asyncio.Protocol):
+class HttpExchange(BoundedProtocol):
     """A connection to a server that carries one exchange at a time.
 
     A subclass overrides `on_response` and `on_failed`; one of them is called once at the end of each
@@ -48,7 +51,7 @@
     """
 
     def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
-        self.transport: asyncio.Transport | None = None
+        super().__init__()
         self.max_body_bytes = max_body_bytes
         # Maximum bytes of head and body on the wire, including chunk framing.
         self.max_response_bytes = MAX_HEAD_BYTES + CHUNK_FRAMING_FACTOR * max_body_bytes
@@ -69,6 +72,8 @@
         self._is_malformed = False
         self._is_complete = False
         self._keep_alive = False
+        # Declared length of the body, or the longest that is accepted where none is declared.
+        self._expected_body_bytes = 0
         self._ends_at_close = False  # no length is declared: the response lasts until the end of the stream
 
     def on_response(self, response: Response) -> None:
@@ -87,14 +92,14 @@
         if not self.is_reusable:
             self.transport.abort()
 
-    def send_request(self, request: bytes) -> None:
-        """Send a complete request and start waiting for its response."""
+    def send_request(self, *parts: bytes) -> None:
+        """Send a complete request, given as parts that are not copied, and start waiting for its response."""
         assert self.transport is not None
         self._parser = httptools.HttpResponseParser(self)
         self._reset_response()
         self.is_awaiting_response = True
         self.has_unsent_bytes = False
-        self.transport.write(request)
+        self.transport.writelines(parts)
         if self.transport.is_closing():
             self.has_unsent_bytes = True  # the write itself failed
 
@@ -156,13 +161,31 @@
         self.is_reusable = self._keep_alive and not self.has_unsent_bytes
         if not self.is_reusable and self.transport is not None:
             self.transport.abort()
-        body_parts = tuple(self._body_parts)
+        response = Response(self._status, self._headers, tuple(self._body_parts))
+        self._release_response()
+        self.on_response(response)
+
+    def _release_response(self) -> None:
+        """Drop what was received, so that an idle or closing connection does not keep it in memory."""
+        self._headers = []
         self._body_parts = []
-        self.on_response(Response(self._status, self._headers, body_parts))
+
+    def memory_bytes(self) -> int:
+        """Return how much memory the response takes up to its end, all of its body included."""
+        overhead_bytes = HEADER_OVERHEAD_BYTES * len(self._headers)
+        if not self._headers_complete:
+            return self._received_bytes + overhead_bytes
+        header_bytes = sum(len(name) + len(value) for name, value in self._headers)
+        return header_bytes + overhead_bytes + self._expected_body_bytes
+
+    def missing_body_bytes(self) -> int:
+        """Return how much of the body is still to come, without framing; 0 before the head is complete."""
+        return max(self._expected_body_bytes - self._body_bytes, 0)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress, if any."""
         self._fail()
+        self._release_response()
         self._parser = None  # breaks a reference cycle, which only the garbage collector would free
 
     def on_message_begin(self) -> None:
@@ -172,8 +195,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; called by httptools."""
-        if not self._headers_complete:  # otherwise a trailer, or a header of a second response
-            self._headers.append((name.strip().lower(), value))
+        if self._headers_complete:
+            return  # a trailer, or a header of a second response
+        if len(self._headers) == MAX_HEADERS:
+            self._is_malformed = True
+            return
+        self._headers.append((name.strip().lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check status and framing; called by httptools."""
@@ -194,20 +221,25 @@
         """Check that the response declares its length at most once, in a supported way."""
         lengths = [value for name, value in self._headers if name == b"content-length"]
         codings = [value for name, value in self._headers if name == b"transfer-encoding"]
+        self._expected_body_bytes = self.max_body_bytes
         if len(lengths) + len(codings) > 1:
             self._is_malformed = True
         elif codings:
-            self._is_malformed = codings[0].strip().lower() != b"chunked"
+            self._is_malformed |= codings[0].strip().lower() != b"chunked"
         elif lengths:
             # A declared length that is too long fails at once, without waiting for the body or the timeout.
-            self._is_malformed = not self._is_acceptable_length(lengths[0].strip())
+            self._set_length(lengths[0].strip())
+        elif self._status in STATUSES_WITHOUT_BODY:
+            self._expected_body_bytes = 0
         else:
-            self._ends_at_close = self._status not in STATUSES_WITHOUT_BODY
+            self._ends_at_close = True
 
-    def _is_acceptable_length(self, length: bytes) -> bool:
-        if not length.isdigit() or len(length) > MAX_LENGTH_DIGITS:
-            return False
-        return int(length) <= self.max_body_bytes
+    def _set_length(self, length: bytes) -> None:
+        is_number = length.isdigit() and len(length) <= MAX_LENGTH_DIGITS
+        if is_number and int(length) <= self.max_body_bytes:
+            self._expected_body_bytes = int(length)
+        else:
+            self._is_malformed = True
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body; called by httptools."""
--- a/dunecove/proxy/http_request.py
+++ b/dunecove/proxy/http_request.py
@@ -10,9 +10,12 @@
 
 from dunecove.proxy.http_limits import (
     CHUNK_FRAMING_FACTOR,
+    HEADER_OVERHEAD_BYTES,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_HEADERS,
     MAX_LENGTH_DIGITS,
+    MESSAGE_OVERHEAD_BYTES,
     Headers,
 )
 
@@ -38,20 +41,27 @@
     body: bytes
     keep_alive: bool
     arrived_at: float  # arrival time of its last bytes, in ms of `now_ms`
+    is_shed: bool = False  # its body was discarded, since there was no memory for it
 
     def size_bytes(self) -> int:
         """Return the size of target, headers and body, without HTTP framing."""
         header_bytes = sum(len(name) + len(value) for name, value in self.headers)
         return len(self.target) + len(self.body) + header_bytes
 
+    def memory_bytes(self) -> int:
+        """Return about how much memory the request takes."""
+        return self.size_bytes() + MESSAGE_OVERHEAD_BYTES + HEADER_OVERHEAD_BYTES * len(self.headers)
+
     def deadline(self) -> float:
         """Return when the client stops waiting, in ms of `now_ms`; infinity without a valid budget."""
         budget = next((value for name, value in self.headers if name == b"x-budget-ms"), b"")
         return self.arrived_at + float(budget) if BUDGET_MS_PATTERN.fullmatch(budget) else inf
 
 
-def check_framing(headers: Headers) -> None:
-    """Raise RequestError if the body is too large, or its length is invalid or its coding not supported.
+def check_framing(headers: Headers) -> int | None:
+    """Return the declared length of the body; None if it is chunked.
+
+    Raise RequestError if the body is too large, or its length is invalid or its coding not supported.
 
     An ambiguous length is invalid, since it would allow request smuggling.
     """
@@ -66,6 +76,8 @@
             raise RequestError(400)
         if len(lengths[0]) > MAX_LENGTH_DIGITS or int(lengths[0]) > MAX_BODY_BYTES:
             raise RequestError(413)
+        return int(lengths[0])
+    return None if codings else 0
 
 
 class RequestReader:
@@ -89,6 +101,10 @@
         self._headers: Headers = []
         self._body = bytearray()
         self._is_head_complete = False
+        self._is_shed = False
+        # Declared length of the body, or the longest that is accepted where none is declared.
+        self._max_body_bytes = 0
+        self._received_body_bytes = 0
         # Size of the current request on the wire, without bytes that were fed together with an earlier one.
         self.size_bytes = 0
 
@@ -118,14 +134,52 @@
         """Abandon the incomplete request; return the error for it."""
         self.has_failed = True
         self.is_mid_request = False
+        self._start_request()  # releases what was received of it
         return RequestError(408)
 
+    def memory_bytes(self) -> int:
+        """Return how much memory the incomplete request takes up to its end, all of its body included."""
+        if not self.is_mid_request:
+            return 0
+        overhead_bytes = HEADER_OVERHEAD_BYTES * len(self._headers)
+        if not self._is_head_complete:
+            return self.size_bytes + overhead_bytes
+        header_bytes = sum(len(name) + len(value) for name, value in self._headers)
+        body_bytes = 0 if self._is_shed else self._max_body_bytes
+        return MESSAGE_OVERHEAD_BYTES + len(self._target) + header_bytes + overhead_bytes + body_bytes
+
+    def missing_body_bytes(self) -> int:
+        """Return how much of the incomplete request's body is still to come; 0 before its head is complete.
+
+        Of a chunked body this is the most that is accepted, without framing.
+        """
+        return max(self._max_body_bytes - self._received_body_bytes, 0)
+
+    def missing_memory_bytes(self) -> int:
+        """Return the part of `memory_bytes` that is for bytes still to come."""
+        return 0 if self._is_shed else self.missing_body_bytes()
+
+    def shed(self) -> RequestError | None:
+        """Discard the body of the incomplete request, for which there is no memory.
+
+        If its head is not complete, so that its end is unknown, abandon it and return the error for it.
+        """
+        if self._is_head_complete:
+            self._is_shed = True
+            self._body = bytearray()
+            return None
+        self.has_failed = True
+        self.is_mid_request = False
+        self._start_request()
+        return RequestError(503)
+
     def _fail(self, status: int) -> None:
         """End the stream with an error, unless an earlier error has ended it."""
         if not self.has_failed:
             self.has_failed = True
             self.is_mid_request = False
             self._completed.append(RequestError(status))
+            self._start_request()  # releases what was received of it
 
     def close(self) -> None:
         """Release the parser, whose reference cycle with this reader would need the garbage collector."""
@@ -143,14 +197,21 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header, or drop a trailer: trailers are not validated."""
-        if not self._is_head_complete:
-            self._headers.append((name.strip().lower(), value))
+        if self._is_head_complete or self.has_failed:
+            return
+        if len(self._headers) == MAX_HEADERS:
+            self._fail(431)
+            return
+        self._headers.append((name.strip().lower(), value))
 
     def on_headers_complete(self) -> None:
         """Handle the end of the head."""
+        if self.has_failed:
+            return
         self._is_head_complete = True
         try:
-            check_framing(self._headers)
+            body_bytes = check_framing(self._headers)
+            self._max_body_bytes = MAX_BODY_BYTES if body_bytes is None else body_bytes
         except RequestError as error:
             self._fail(error.status)
             return
@@ -163,9 +224,10 @@
         """Handle a fragment of the body."""
         if self.has_failed:
             return
-        if len(self._body) + len(body) > MAX_BODY_BYTES:
+        self._received_body_bytes += len(body)
+        if self._received_body_bytes > MAX_BODY_BYTES:
             self._fail(413)
-        else:
+        elif not self._is_shed:
             self._body += body
 
     def on_message_complete(self) -> None:
@@ -181,6 +243,7 @@
                 bytes(self._body),
                 self._parser.should_keep_alive(),
                 self.arrived_at,
+                self._is_shed,
             )
         )
         self.is_mid_request = False
--- a/dunecove/proxy/listener.py
+++ b/dunecove/proxy/listener.py
@@ -20,6 +20,7 @@
 ACCEPT_RETRY_S = 0.05  # delay before accepting again when no slot or file descriptor was free
 BACKLOG_DRAIN_INTERVAL_S = 0.005  # delay between two rounds of accepting at shutdown
 SWEEP_INTERVAL_S = 0.25
+UNREAD_TIMEOUT_S = 1.0  # for a client to read its responses while others wait for the memory that they take
 FINAL_RESPONSE_TIMEOUT_S = 0.1  # time for the last error responses to reach their clients
 
 
@@ -150,9 +151,19 @@
         for connection in self.slots.overdue_idle():
             if connection.may_close():
                 connection.close(CloseReason.IDLE)
+        self._abort_slow_readers()
         if self.sock is None:
             self.close_between_requests()
 
+    def _abort_slow_readers(self) -> None:
+        """Abort clients that leave responses unread while there is no memory for others."""
+        if not self.engine.budgets.responses.has_waiting():
+            return
+        unread_before = now_ms() - UNREAD_TIMEOUT_S * 1000
+        for connection in list(self.slots.connections):
+            if 0 < connection.unread_since < unread_before:
+                connection.abort(CloseReason.NOT_READING)
+
     def close_between_requests(self) -> None:
         """Close idle connections, and new ones that were silent for `EVICTION_GRACE_MS`.
 
--- a/dunecove/proxy/request_lifecycle.py
+++ b/dunecove/proxy/request_lifecycle.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from math import inf
 
 from dunecove.policy.actions import CancelAttempt, EndReason, Fail, Forward, Reject
 from dunecove.policy.events import AttemptEnded, ClientDisconnected, Event, RequestArrived
@@ -38,11 +39,12 @@
         connection_pool: ConnectionPool,
         telemetry: Telemetry,
         raise_event: Callable[[Event], None],
+        max_recent_ids: float = inf,
     ) -> None:
         """Create an empty registry of requests; `raise_event` queues an event for the balancer."""
         self.open: dict[str, OpenRequest] = {}  # by request id
         self.max_deadline_ms = max(request_class.deadline_ms for request_class in settings.classes)
-        self.recent_ids = RecentIds(self.max_deadline_ms)
+        self.recent_ids = RecentIds(self.max_deadline_ms, max_recent_ids)
         self._settings = settings
         self._connection_pool = connection_pool
         self._telemetry = telemetry
@@ -147,6 +149,7 @@
         request = self.open.get(action.request_id)
         if request is not None and not request.is_finished:
             self._respond(request, self._final_response(request, action), action.reason)
+            self._withdraw_incomplete(request)
 
     def pop_ended(self) -> list[OpenRequest]:
         """Return and clear the requests whose end the next step reports to the balancer."""
@@ -218,6 +221,10 @@
         completely written are withdrawn here.
         """
         self._raise_event(ClientDisconnected(request.parsed.request_id))
+        self._withdraw_incomplete(request)
+
+    def _withdraw_incomplete(self, request: OpenRequest) -> None:
+        """Withdraw the attempts that a backend has not received completely: their text takes memory."""
         for attempt in request.attempts:
             self._connection_pool.withdraw(attempt)
 
@@ -232,6 +239,7 @@
         request_id = request.parsed.request_id
         if result is AttemptResult.OK and response is not None and not request.is_finished:
             self._respond(request, _client_response(response), ResponseReason.SERVED)
+            self._withdraw_incomplete(request)
         self._telemetry.record(request_id, RequestStage.ATTEMPT_ENDED, result.value)
         latency_ms = now_ms() - attempt.started_at
         self._raise_event(AttemptEnded(request_id, attempt_index, result, latency_ms, request.is_finished))
@@ -290,6 +298,8 @@
         request.is_finished = True
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
+            request.deadline_timer = None
+        request.release_content()
         self._queue_if_ended(request)
 
     def _queue_if_ended(self, request: OpenRequest) -> None:
--- a/dunecove/proxy/request_registry.py
+++ b/dunecove/proxy/request_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 
 from dunecove.proxy.attempt import Attempt
 from dunecove.proxy.client_messages import ParsedRequest
@@ -25,6 +26,12 @@
         self.is_finished = False  # answered, or the client has disconnected
         self.deadline_timer: asyncio.TimerHandle | None = None
 
+    def release_content(self) -> None:
+        """Drop the request's text, which no further attempt will need; open attempts have been written."""
+        self.parsed = self.parsed._replace(head=b"", body=b"")
+        for attempt in self.attempts:
+            attempt.release_content()
+
     def has_open_attempts(self) -> bool:
         """Return whether any attempt has no result yet."""
         return not all(attempt.has_ended for attempt in self.attempts)
@@ -33,8 +40,12 @@
 class RecentIds:
     """The ids of recent requests, so that an id is not reused while its first request may be open."""
 
-    def __init__(self, max_deadline_ms: float) -> None:
-        """Keep each id for at least the longest deadline, in ms, unless there are over `MAX_RECENT_IDS`."""
+    def __init__(self, max_deadline_ms: float, max_count: float = inf) -> None:
+        """Keep each id for at least the longest deadline, in ms, unless there are too many.
+
+        That is over `max_count` or `MAX_RECENT_IDS`.
+        """
+        self._max_count = max_count
         self._retention_ms = max(MIN_ID_RETENTION_MS, max_deadline_ms)
         self._arrivals: dict[str, float] = {}  # arrival time by request id, oldest first
 
@@ -49,11 +60,12 @@
         self._arrivals[request_id] = now_ms()
 
     def expire(self) -> None:
-        """Remove ids past their retention time, and the oldest ones beyond `MAX_RECENT_IDS`."""
+        """Remove ids past their retention time, and the oldest ones if there are too many."""
+        max_count = min(self._max_count, MAX_RECENT_IDS)
         expired_before = now_ms() - self._retention_ms
         while self._arrivals:
             oldest = next(iter(self._arrivals))
             is_recent = self._arrivals[oldest] > expired_before
-            if is_recent and len(self._arrivals) < MAX_RECENT_IDS:
+            if is_recent and len(self._arrivals) < max_count:
                 break
             del self._arrivals[oldest]
--- a/dunecove/proxy/telemetry.py
+++ b/dunecove/proxy/telemetry.py
@@ -25,6 +25,7 @@
     LIST_UPDATE = "list"  # detail: the kind of update
     RELOAD_FAILED = "reload.failed"
     RELOAD_SUCCEEDED = "reload.succeeded"
+    REQUEST_SHED = "shed"  # before it reached the balancer; detail: the resource that was exhausted
     VIOLATION = "violation"  # detail: the violated rule
 
 
--- a/dunecove/server.py
+++ b/dunecove/server.py
@@ -11,13 +11,15 @@
 
 import uvloop
 
-from dunecove.config import Config, connection_limits
+from dunecove.config import Config
+from dunecove.limits import connection_limits, memory_limits
 from dunecove.policy.settings import Settings
 from dunecove.proxy.discovery_client import DiscoveryClient
 from dunecove.proxy.engine import Engine
 from dunecove.proxy.gossip import GossipChannel, PeerAddresses
 from dunecove.proxy.listener import Listener
 from dunecove.proxy.log_writer import log
+from dunecove.proxy.memory_budget import ContentBudgets, MemoryBudget
 from dunecove.proxy.request_validator import RequestValidator
 from dunecove.proxy.telemetry import Telemetry
 from dunecove.reload import Reloader
@@ -40,8 +42,12 @@
 
 def start(config: Config) -> RunningProxy:
     """Create and connect the components, and start to serve clients."""
-    limits = connection_limits(config.max_descriptors)
-    engine = Engine(config.settings, config.proxy_settings, config.seed, limits.backends)
+    limits = connection_limits(config.max_descriptors, config.memory_mb)
+    memory = memory_limits(config.memory_mb, limits)
+    budgets = ContentBudgets(MemoryBudget(memory.requests), MemoryBudget(memory.responses))
+    engine = Engine(
+        config.settings, config.proxy_settings, config.seed, limits.backends, budgets, memory.recent_ids
+    )
     engine.load_cached_list(config.cached_list)
     engine.discovery = DiscoveryClient(
         config.discovery_address,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -292,5 +292,32 @@
         for connection in list(listener.slots.connections):
             connection.transport.abort()
         engine.close()
+        await wait_until(lambda: not listener.slots.connections)
+        # A charge that is never released would reject all requests in the end.
+        await wait_until(lambda: engine.budgets.requests.used_bytes == 0)
+        await wait_until(lambda: engine.budgets.responses.used_bytes == 0)
         for server in [*backend_servers, discovery]:
             server.close()
+
+
+async def connect_slow_reader(
+    proxy: Proxy, send_buffer_bytes: int = 4096, shutting_down: bool = True
+) -> Client:
+    """Return a client with an unread response; the kernel holds up to `send_buffer_bytes` of it."""
+    if shutting_down:
+        proxy.listener.begin_shutdown()
+    host, port = proxy.listener.address.split(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect((host, int(port)))
+    client = Client(*await asyncio.open_connection(sock=sock, limit=1000))
+    await wait_until(lambda: proxy.listener.slots.connections)
+    (connection,) = proxy.listener.slots.connections
+    connection.transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes
+    )
+    client.send()
+    (await proxy.backends[0].requests.get()).respond(b"r" * 65536)
+    await wait_until(lambda: proxy.listener.slots.lingering if shutting_down else proxy.listener.slots.idle)
+    assert send_buffer_bytes > 4096 or connection.transport.get_write_buffer_size()
+    return client
--- a/tests/proxy/test_connection_edges.py
+++ b/tests/proxy/test_connection_edges.py
@@ -13,10 +13,10 @@
 from dunecove.proxy.socket_probe import has_unread_input, is_closed_by_peer
 from tests.loopback import (
     PURCHASE,
-    Client,
     Proxy,
     ReceivedRequest,
     ReceivedResponse,
+    connect_slow_reader,
     encode_request,
     reset_connection,
     run,
@@ -99,29 +99,6 @@
     run(test())
 
 
-async def connect_slow_reader(
-    proxy: Proxy, send_buffer_bytes: int = 4096, shutting_down: bool = True
-) -> Client:
-    """Return a client with an unread response; the kernel holds up to `send_buffer_bytes` of it."""
-    if shutting_down:
-        proxy.listener.begin_shutdown()
-    host, port = proxy.listener.address.split(":")
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    sock.connect((host, int(port)))
-    client = Client(*await asyncio.open_connection(sock=sock, limit=1000))
-    await wait_until(lambda: proxy.listener.slots.connections)
-    (connection,) = proxy.listener.slots.connections
-    connection.transport.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes
-    )
-    client.send()
-    (await proxy.backends[0].requests.get()).respond(b"r" * 65536)
-    await wait_until(lambda: proxy.listener.slots.lingering if shutting_down else proxy.listener.slots.idle)
-    assert send_buffer_bytes > 4096 or connection.transport.get_write_buffer_size()
-    return client
-
-
 @pytest.mark.parametrize("occasion", ["sweep", "eviction"])
 def test_slow_reader_gets_its_complete_last_response(occasion: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(slots_module, "LINGER_TIMEOUT_S", -1.0)
--- a/tests/proxy/test_discovery_client.py
+++ b/tests/proxy/test_discovery_client.py
@@ -14,11 +14,12 @@
 
 import pytest
 
+from dunecove.limits import BYTES_PER_MB, LIST_PROCESS_BYTES
 from dunecove.policy.actions import PollDiscovery
 from dunecove.policy.events import BackendListUpdate, ListUpdateKind
 from dunecove.policy.models import BackendState
 from dunecove.proxy import discovery_client as discovery_client_module
-from dunecove.proxy.discovery_client import BYTES_PER_MB, DiscoveryClient
+from dunecove.proxy.discovery_client import DiscoveryClient
 from dunecove.proxy.discovery_connection import DiscoveryConnection
 from dunecove.proxy.endpoint_list import EndpointListUpdate
 from dunecove.wire.settings import ProxySettings
@@ -408,7 +409,7 @@
             assert proxy.engine.discovery is not None
             max_list_bytes = proxy.engine.discovery.max_list_bytes
             # A list takes up to three times its size in memory.
-            assert discovery_client_module.PROCESS_MEMORY_MB + 3 * max_list_bytes / BYTES_PER_MB < 192
+            assert LIST_PROCESS_BYTES + 3 * max_list_bytes < 192 * BYTES_PER_MB
             call.writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
             sent_bytes, chunk = 0, b" " * 65_536
             while not call.closed.is_set():
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -38,6 +38,7 @@
 from dunecove.proxy import engine as engine_module
 from dunecove.proxy import listener as listener_module
 from dunecove.proxy import log_writer as log_writer_module
+from dunecove.proxy import request_pipeline as pipeline_module
 from dunecove.proxy import request_validator as request_validator_module
 from dunecove.proxy.clock import now_ms
 from dunecove.proxy.socket_probe import has_unread_input, is_closed_by_peer
@@ -273,9 +274,7 @@
     for name in ids:
         client.send(x_call_id=name)
     for number in range(2):
-        client.send(
-            x_call_id=f"{ids[-1]}-long-{number}", body=b"x" * connection_module.MAX_PIPELINED_SMALL_BYTES
-        )
+        client.send(x_call_id=f"{ids[-1]}-long-{number}", body=b"x" * pipeline_module.MAX_PENDING_SMALL_BYTES)
 
 
 def test_disconnect_is_detected_while_reading_is_paused(balancer: type[ScriptedBalancer]) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,7 +15,8 @@
 
 import pytest
 
-from dunecove.config import Config, connection_limits, read_config
+from dunecove.config import Config, read_config
+from dunecove.limits import connection_limits
 from tests.loopback import (
     TEST_TIMEOUT_S,
     Client,
@@ -229,7 +230,7 @@
         program, address = await start_with_descriptor_limit(
             descriptor_limit, write_configuration(tmp_path, config)
         )
-        client_limit, backend_limit = connection_limits(min(descriptor_limit, sockets))
+        client_limit, backend_limit = connection_limits(min(descriptor_limit, sockets), 192)
         busy, received_requests = await occupy_all_slots(address, backend, client_limit, backend_limit)
         descriptors = Path(f"/proc/{program.pid}/fd")
         await wait_until(lambda: len(os.listdir(descriptors)) >= client_limit + backend_limit)
