Let one opening call alone receive a long list

What callers could see: nothing was seen; found by following the bound on memory to what comes from discovery. Up to three opening calls wait at once where the list is polled, and each may receive a list of the largest allowed size (40 MB at 192 MB), though memory is divided for one that replaces another.

Change: once an opening call has received a slice of 1 MiB, the others are closed; their answer would be the same list.

Test: test_only_one_opening_call_receives_a_long_list; without the change its second call stays open and it times out.

--- a/dunecove/proxy/discovery_client.py
+++ b/dunecove/proxy/discovery_client.py
@@ -173,32 +173,52 @@
 
     async def _open_watch(self) -> BodyParts:
         """Return the first response to any opening call, including timed-out calls of earlier watches."""
-        latest = self._find_answered_call() or self._start_opening_call()
+        if self._find_answered_call() is None:
+            self._start_opening_call()
         try:
             async with _response_timeout(self.opening_timeout_ms) as timeout:
-                for connection in self.opening_calls.values():
-                    connection.on_progress = self._extend_on_progress(timeout)
-                while not latest.done() and self._find_answered_call() is None:
+                for task, connection in self.opening_calls.items():
+                    connection.on_progress = self._prefer_on_progress(task, timeout)
+                while not self._latest_call().done() and self._find_answered_call() is None:
                     await asyncio.wait(self.opening_calls, return_when=asyncio.FIRST_COMPLETED)
         except DiscoveryTimeoutError:
             self.connection = None  # the call stays in flight, as one of the opening calls
             if self.max_opening_calls == 1:
                 self._close_opening_calls(keep=0)  # the next call replaces this one
             raise
-        answered = self._find_answered_call() or latest
+        answered = self._find_answered_call() or self._latest_call()
         self.connection = self.opening_calls.pop(answered)
         body_parts = answered.result()  # raises the error of a failed call
         self._close_opening_calls(keep=0)
         return body_parts
 
-    def _start_opening_call(self) -> asyncio.Task[BodyParts]:
+    def _latest_call(self) -> asyncio.Task[BodyParts]:
+        return next(reversed(self.opening_calls))
+
+    def _start_opening_call(self) -> None:
         connection = DiscoveryConnection(self.max_list_bytes)
         self.connection = connection
         task = asyncio.get_running_loop().create_task(self._fetch(connection, OPENING_LONG_POLL_MS))
         self.opening_calls[task] = connection
         task.add_done_callback(self._on_opening_call_done)
         self._close_opening_calls(keep=self.max_opening_calls)
-        return task
+
+    def _prefer_on_progress(
+        self, task: asyncio.Task[BodyParts], timeout: asyncio.Timeout
+    ) -> Callable[[], None]:
+        """Return a callback for an opening call that is receiving a long response.
+
+        It closes the other calls: their responses would take as much memory again.
+        """
+        extend = self._extend_on_progress(timeout)
+
+        def prefer() -> None:
+            extend()
+            for other in [call for call in self.opening_calls if call is not task]:
+                self.opening_calls.pop(other).close()
+                other.cancel()
+
+        return prefer
 
     def _extend_on_progress(self, timeout: asyncio.Timeout) -> Callable[[], None]:
         """Return a callback that extends a timeout while a long response is being received."""
--- a/tests/proxy/test_discovery_client.py
+++ b/tests/proxy/test_discovery_client.py
@@ -369,6 +369,32 @@
     run(test())
 
 
+def test_only_one_opening_call_receives_a_long_list(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Failure: three calls that were answered at once took three times the memory of a list."""
+    monkeypatch.setattr(discovery_client_module, "OPENING_TIMEOUT_MS", 50)
+
+    async def test() -> None:
+        async with watching_client() as (harness, service):
+            first = await service.requests.get()
+            await harness.failures.get()
+            harness.client.opening_timeout_ms = 1e6
+            harness.client.max_list_bytes = 2**23
+            harness.client.watch()
+            second = await service.requests.get()
+            body = json.dumps(make_endpoint_list(42) | {"pad": "x" * 3 * 2**20}).encode()
+            head = b"HTTP/1.1 200 X\r\ncontent-length: %d\r\n\r\n" % len(body)
+            (first_connection, _) = harness.client.opening_calls.values()
+            first_connection.max_response_bytes = first_connection.max_body_bytes = 2**23
+            first.writer.write(head + body[: 2**21])
+            await second.closed.wait()
+            assert len(harness.client.opening_calls) == 1 and harness.failures.empty()
+            first.writer.write(body[2**21 :])
+            assert (await harness.updates.get()).revision == 42
+            assert (await service.requests.get()).connection_number == 1 and harness.failures.empty()
+
+    run(test())
+
+
 @pytest.mark.parametrize("drain_grace_ms", [500.0, 2_500.0, 6_000.0])
 def test_pushed_list_is_read_within_the_drain_grace_after_its_service_recovers(drain_grace_ms: float) -> None:
     # When the service is back, its updates count as notified at once. Until then, a long poll or an opening
