Count a request's time from its arrival also where it takes several reads

Cause: bytes that a full read leaves in the kernel got the time of a later read, or of the pause after it, and bytes that did not fit into the kernel's window arrived only once the proxy read again.

Change: up to 256 KiB are read at once while memory is ample, as before, and what a full read leaves counts from that read's arrival at the earliest.

--- a/dunecove/proxy/bounded_protocol.py
+++ b/dunecove/proxy/bounded_protocol.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-READ_BYTES = 64 * 1024  # read at once by any connection at most
+# Read at once by any connection at most. What is left in the kernel keeps no arrival time of its own.
+READ_BYTES = 256 * 1024
 
 # One buffer serves all connections: the event loop fills it and passes it on before the next read.
 _shared_buffer = memoryview(bytearray(READ_BYTES))
@@ -16,6 +17,7 @@
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.is_reading_paused = False
+        self.may_have_unread_input = False  # the last read was full, so that the kernel may hold more
         self._offered_bytes = 0
 
     def read_bytes(self) -> int:
@@ -33,9 +35,9 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle a read; called by the event loop."""
-        is_full = nbytes == self._offered_bytes
+        self.may_have_unread_input = nbytes == self._offered_bytes
         self.data_received(bytes(_shared_buffer[:nbytes]))
-        if is_full and self.transport is not None and not self.transport.is_closing():
+        if self.may_have_unread_input and self.transport is not None and not self.transport.is_closing():
             # The event loop would go on to read from this connection alone for as long as bytes arrive.
             self.transport.pause_reading()
             asyncio.get_running_loop().call_soon(self._take_turn)
--- a/dunecove/proxy/client_connection.py
+++ b/dunecove/proxy/client_connection.py
@@ -104,7 +104,8 @@
         self.consecutive_errors = 0
         self.discarded_bytes = 0  # received while lingering
         self.close_reason: CloseReason | None = None
-        # Time, in ms of `now_ms`, since which input may be unread because reading was paused; 0: none is.
+        # Time, in ms of `now_ms`, since which input may be unread, because reading was paused or the last
+        # read was full; 0: none is.
         self.paused_since = 0.0
         self._accept_delayed_since = accept_delayed_since
         self._on_lost = on_lost
@@ -157,7 +158,10 @@
             if self.discarded_bytes > MAX_LINGER_BYTES:
                 self.abort(CloseReason.FLOOD)
             return
-        self.buffer.append(data, self._arrival_time())
+        arrived_at = self._arrival_time()
+        self.buffer.append(data, arrived_at)
+        if self.may_have_unread_input:
+            self.paused_since = arrived_at
         self._process()
 
     # State
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -32,6 +32,7 @@
 )
 from dunecove.policy.models import AttemptResult
 from dunecove.policy.settings import Settings
+from dunecove.proxy import bounded_protocol
 from dunecove.proxy import client_connection as connection_module
 from dunecove.proxy import connection_slots as slots_module
 from dunecove.proxy import disconnect_watcher as watcher_module
@@ -597,6 +598,29 @@
     run(test())
 
 
+@pytest.mark.parametrize(("read_bytes", "body_bytes"), [(bounded_protocol.READ_BYTES, 20_000), (8192, 5000)])
+def test_budget_of_pipelined_requests_that_take_several_reads_starts_when_they_arrive(
+    balancer: type[ScriptedBalancer], monkeypatch: pytest.MonkeyPatch, read_bytes: int, body_bytes: int
+) -> None:
+    """Failure: what was left in the kernel by a full read counted as having arrived with a later read."""
+    monkeypatch.setattr(bounded_protocol, "READ_BYTES", read_bytes)
+
+    async def test() -> None:
+        async with run_proxy() as proxy:
+            client = await proxy.client()
+            requests = [
+                encode_request(x_call_id=f"c{number}", x_budget_ms="300", body=b"x" * body_bytes)
+                for number in range(10)
+            ]
+            client.writer.write(b"".join(requests))
+            for _ in requests:
+                assert (await client.read_response()).status == 504
+            deadlines = [arrival.deadline for arrival in events(RequestArrived)]
+            assert len(deadlines) == 10 and max(deadlines) - min(deadlines) < 100.0
+
+    run(test())
+
+
 def test_pipelined_request_shortens_the_deadline_of_the_request_before_it(
     balancer: type[ScriptedBalancer],
 ) -> None:
