Answer a flood of requests in several turns of the event loop

Cause: ClientConnection._process went on for as long as requests were answered at once, so that one call handled all that had been read.

Change: after eight requests the connection goes on in the next iteration of the loop; it stays active and may not be closed meanwhile.

Tests: test_requests_read_together_are_answered_in_several_loop_iterations (200 answers in one call without the change) and the flood "readiness" of test_memory_limits.

--- a/dunecove/proxy/client_connection.py
+++ b/dunecove/proxy/client_connection.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from http import HTTPStatus
 from math import inf
 from typing import cast
 
@@ -30,6 +29,8 @@
 PARSE_CHUNK_BYTES = 4096  # parsed at a time, so that a flood of requests is not parsed all at once
 # The same while there is no memory for more than one request: fewer of the shortest requests are in it.
 SCARCE_PARSE_CHUNK_BYTES = 256
+# Requests dispatched without a break: a flood of those that are answered at once must not delay others.
+MAX_DISPATCHES_PER_TURN = 8
 MAX_CONSECUTIVE_ERRORS = 8  # consecutive rejected requests after which a connection is closed
 LINGER_READ_TIMEOUT_S = 5.0  # time for a lingering client to read its last response
 MAX_LINGER_BYTES = 1024 * 1024  # received and discarded while lingering; any more abort the connection
@@ -40,8 +41,6 @@
 PIPELINED_GRACE_MS = RESPONSE_GRACE_MS / 2
 READY_PATH = b"/health/ready"
 
-REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
-
 
 class CloseReason(Enum):
     """Why a connection was closed; counted as `close.<value>`."""
@@ -98,6 +97,7 @@
         self._unsent_memory = MemoryAccount(self._budgets.responses)
         self.unread_since = 0.0  # time, in ms of `now_ms`, since which responses are unsent; 0: none is
         self._has_memory = True  # for the request that is being read
+        self._is_continuing = False  # input is processed further in the next loop iteration
         self.keep_alive = True  # whether the last dispatched request lets the connection stay open
         self.is_closing = False  # no further requests are read
         self.has_responded = False
@@ -171,8 +171,9 @@
         return self.request_id is not None or bool(self.pending)
 
     def may_close(self) -> bool:
-        """Return whether there is no unanswered request and no unread input in the kernel."""
-        return may_close_connection(self.has_unanswered_request(), has_unread_input(self.transport))
+        """Return whether there is no unanswered request, and no unread input here or in the kernel."""
+        has_unread = bool(self.buffer) or has_unread_input(self.transport)
+        return may_close_connection(self.has_unanswered_request(), has_unread)
 
     def may_be_evicted(self) -> bool:
         """Return whether the slot of this connection may be given to a new one."""
@@ -297,9 +298,14 @@
 
     def _process(self) -> None:
         """Dispatch the pending requests in order, and parse further ones while few are pending."""
+        dispatches_left = MAX_DISPATCHES_PER_TURN
         while not self.is_closing or self.pending:
-            while self.request_id is None and self.pending:
+            while self.request_id is None and self.pending and dispatches_left:
                 self._dispatch(self.pending.popleft())
+                dispatches_left -= 1
+            if self.request_id is None and not dispatches_left:
+                self._continue_later()
+                break
             if not self.buffer or self.is_closing or not self._may_parse():
                 break
             self._parse(self.buffer.pop(self._parse_bytes()))
@@ -313,8 +319,18 @@
         if not self.is_closing:
             self._update_reading()
 
+    def _continue_later(self) -> None:
+        if not self._is_continuing and not self.transport.is_closing():
+            self._is_continuing = True
+            asyncio.get_running_loop().call_soon(self._continue)
+
+    def _continue(self) -> None:
+        self._is_continuing = False
+        if not self.transport.is_closing():
+            self._process()
+
     def _update_state(self) -> None:
-        if self.has_unanswered_request():
+        if self.has_unanswered_request() or self._is_continuing:
             self._shorten_current_deadline()
             self.server.slots.mark_active(self)
         elif self.reader.is_mid_request or not self.has_responded:
@@ -457,7 +473,7 @@
         # During shutdown, pipelined requests are still served; the last response closes the connection.
         keep_alive = self.keep_alive and (not self.server.is_shutting_down or self._has_further_requests())
         is_unread = bool(self.unread_since)
-        encoded = _encode(response, keep_alive)
+        encoded = response.encode(keep_alive)
         self.transport.write(encoded)
         self.has_responded = True
         if self.unread_since:
@@ -476,14 +492,3 @@
     def _has_further_requests(self) -> bool:
         """Return whether the client has sent anything after the current request."""
         return bool(self.pending or self.buffer) or has_unread_input(self.transport)
-
-
-def _encode(response: ClientResponse, keep_alive: bool) -> bytes:
-    return b"HTTP/1.1 %d %b\r\n%bcontent-length: %d\r\n%b\r\n%b" % (
-        response.status,
-        REASON_PHRASES[response.status],
-        response.headers,
-        len(response.body),
-        b"" if keep_alive else b"connection: close\r\n",
-        response.body,
-    )
--- a/dunecove/proxy/client_messages.py
+++ b/dunecove/proxy/client_messages.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import NamedTuple
 
+REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+
 
 class ClientResponse(NamedTuple):
     """A final response to a client."""
@@ -13,6 +16,17 @@
     headers: bytes = b""  # complete header lines
     body: bytes = b""
 
+    def encode(self, keep_alive: bool) -> bytes:
+        """Return the response as HTTP/1.1 text; without `keep_alive` it says that the connection closes."""
+        return b"HTTP/1.1 %d %b\r\n%bcontent-length: %d\r\n%b\r\n%b" % (
+            self.status,
+            REASON_PHRASES[self.status],
+            self.headers,
+            len(self.body),
+            b"" if keep_alive else b"connection: close\r\n",
+            self.body,
+        )
+
 
 class ParsedRequest(NamedTuple):
     """A client's complete and valid request."""
--- a/tests/flood_clients.py
+++ b/tests/flood_clients.py
@@ -19,6 +19,7 @@
 BODY = b"x" * 65_000
 CHUNK_BYTES = 1000
 SHORT_HEADERS = b"a:b\r\n" * 2900
+READINESS_CHECKS = b"GET /health/ready HTTP/1.1\r\nhost: backend.local\r\n\r\n" * 100
 RECEIVE_BUFFER_BYTES = 4096  # of a client that does not read
 
 
@@ -57,6 +58,7 @@
     "chunked": Flood(encode_chunked, 200),
     "headers": Flood(lambda: encode_request(b"/answer", headers=SHORT_HEADERS), 200),
     "endless head": Flood(lambda: b"POST /answer HTTP/1.1\r\n" + SHORT_HEADERS * 4, 1),
+    "readiness": Flood(lambda: READINESS_CHECKS, sys.maxsize),
     "small": Flood(lambda: encode_request(b"/lookup"), 900),
     "unread": Flood(lambda: encode_request(b"/lookup"), 900, reads=False),
     "leave": Flood(lambda: encode_request(b"/answer", body=BODY), 1, waits=False),
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -11,6 +11,7 @@
 from dunecove.proxy import client_connection as connection_module
 from dunecove.proxy import connection_slots as slots_module
 from dunecove.proxy import request_registry as request_registry_module
+from dunecove.proxy.client_messages import ClientResponse
 from tests.loopback import Client, Proxy, encode_request, run, run_proxy, send_unread, wait_until
 
 
@@ -759,3 +760,29 @@
             assert (await first.read_response()).body == b"its own"
 
     run(test())
+
+
+def test_requests_read_together_are_answered_in_several_loop_iterations() -> None:
+    """Failure: 900 readiness checks at once from 60 clients held up all other responses for seconds."""
+
+    async def test() -> None:
+        async with run_proxy() as proxy:
+            client = await proxy.client()
+            await wait_until(lambda: proxy.listener.slots.connections)
+            (connection,) = proxy.listener.slots.connections
+            responses: list[ClientResponse] = []
+            respond = connection._send_response
+
+            def count(response: ClientResponse) -> None:
+                responses.append(response)
+                respond(response)
+
+            connection._send_response = count  # type: ignore[method-assign]
+            connection.data_received(b"GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n" * 200)
+            assert 0 < len(responses) < 20
+            assert not connection.may_close() and not proxy.listener.slots.idle
+            for _ in range(200):
+                assert (await client.read_response()).status == 200
+            await wait_until(lambda: proxy.listener.slots.idle)
+
+    run(test())
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -211,6 +211,7 @@
     "chunked": FloodCase("chunked", respond_shortly, "/answer", MIN_SERVED_FRACTION),
     "headers": FloodCase("headers", respond_shortly, "/answer", MIN_SERVED_FRACTION),
     "endless head": FloodCase("endless head", respond_shortly, "/answer", MIN_SERVED_FRACTION),
+    "readiness": FloodCase("readiness", respond_shortly, "/answer", MIN_SERVED_FRACTION),
     "small": FloodCase("small", respond_shortly, "/lookup", MIN_SERVED_FRACTION),
     "long responses": FloodCase("small", respond_long, "/lookup", MIN_SERVED_FRACTION),
     "unread responses": FloodCase("unread", respond_long, "/lookup", MIN_SERVED_FRACTION),
