--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -295,6 +295,7 @@
     def __init__(self, world: World, index: int, count: int, settings: dict[str, Any]) -> None:
         """Prepare a proxy; `settings` replace members of the default settings."""
         self.world = world
+        self.sockets = 1024
         self.name = f"n{index}"
         self.address = free_address()
         self.config_path = world.folder / f"{self.name}.json"
@@ -309,7 +310,7 @@
             "listen": self.address,
             "discovery": discovery.address,
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": discovery.whole_list() if known is None else known,
             "settings": self.settings,
         }
