--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import re
+import select
 import shutil
 import signal
 import socket
@@ -228,6 +229,56 @@
             loop.call_later(self._one_way_s, writer.close)
 
 
+class ClientSideRelay(Server):
+    """The network between clients and a proxy: bytes, ends and resets pass it, a fixed time later.
+
+    An end comes behind the bytes before it. Bytes for a client that has closed are answered with a reset.
+    """
+
+    def __init__(self, address: str, one_way_s: float) -> None:
+        """Create a relay to the proxy at `address`."""
+        super().__init__()
+        self._far_host, port = address.split(":")
+        self._far_port = int(port)
+        self._one_way_s = one_way_s
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Relay one connection until the proxy or a reset ends it."""
+        far_reader, far_writer = await asyncio.open_connection(self._far_host, self._far_port)
+        far_writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        upward = asyncio.create_task(self._pass_up(reader, far_writer))
+        try:
+            while data := await far_reader.read(65536):
+                await asyncio.sleep(self._one_way_s)
+                writer.write(data)
+                if has_been_reset(writer):
+                    await asyncio.sleep(self._one_way_s)
+                    reset(far_writer)
+                    return
+            await asyncio.sleep(self._one_way_s)
+        finally:
+            upward.cancel()
+            far_writer.close()
+
+    async def _pass_up(self, reader: asyncio.StreamReader, far_writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while data := await reader.read(1 << 20):
+                loop.call_later(self._one_way_s, far_writer.write, data)
+            loop.call_later(self._one_way_s, far_writer.write_eof)
+        except ConnectionError:
+            loop.call_later(self._one_way_s, reset, far_writer)
+
+
+def has_been_reset(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the kernel reports that the other side has reset the connection."""
+    if writer.transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), 0)
+    return bool(poll.poll(0))
+
+
 class Discovery(Server):
     """Discovery's agent: whole list, changes and watches, with times at which changes were written."""
 
