--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,11 +1,11 @@
-"""Case 9: a request's time counts from when it came, however long it waits unread behind others."""
+"""Case 9: no attempt begins for a client that has sent much at once and gone."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 import time
-from dataclasses import dataclass
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -17,6 +17,7 @@
     Backend,
     CannotRunError,
     Client,
+    ClientSideRelay,
     Discovery,
     Request,
     World,
@@ -27,100 +28,64 @@
     run_case,
 )
 
-BACKENDS = 12
-CLIENTS = 6
-BURSTS = 10  # of one client
-BURST_SIZE = 6  # requests that a client sends at once
-BURST_INTERVAL_S = 0.3
-WORK_S = 0.18  # the brief: 130 to 240 ms for a `cuota`
-BUDGET_MS = 2800  # 70% of the class's deadline, for every request: "70 to 100%"
-BODY = b"m" * 4096  # a body holds at most 64 KiB
-GRACE_MS = 500.0  # after its time a request may still be answered for so long
-SLACK_MS = 50.0  # "each time limit is 50 ms longer"
-TOLD_SLACK_MS = 150.0  # of the time that an attempt tells its backend
-
-
-@dataclass
-class Sent:
-    """A request and when its last byte was written."""
-
-    call_id: str
-    written_at: float = 0.0
-
-    def left_ms(self, now: float) -> float:
-        """Return what is left of the time that its client waits."""
-        return BUDGET_MS - (now - self.written_at) * 1000
+BACKENDS = 6
+VISITS = 8  # one after the other
+BATCH_SIZE = 40  # requests that a client sends at once
+BODY = b"m" * 60_000  # a body holds at most 64 KiB
+BUDGET_MS = 4000  # the class's deadline
+WORK_S = 0.2  # the brief: 130 to 240 ms for a `cuota`
+ONE_WAY_S = 0.001  # the site file: 0.32 to 0.97 ms from clients
+LIMIT_S = 0.1  # an attempt that begins later after the close is a break
+SLACK_S = 0.05  # "each time limit is 50 ms longer"
+SEND_TIME_S = 0.2  # in which the system takes all of a batch
+PAUSE_S = 1.5  # until the next client
 
 
 class Ledger:
-    """The requests that were sent, and what was told of them."""
+    """When the clients went, and which attempts began after that."""
 
     def __init__(self, world: World) -> None:
         """Create an empty ledger."""
         self.world = world
-        self.sent: dict[str, Sent] = {}
-        self.told_too_much = 0
-        self.lost = 0
+        self.closed_at: dict[str, float] = {}
+        self.broken = 0
 
     async def work(
         self, backend: Backend, request: Request, _: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Check the time that the backend is told, and answer after the work."""
-        left_ms = self.sent[request.call_id].left_ms(request.received_at)
-        told_ms = int(request.headers["x-budget-ms"])
-        if told_ms > left_ms + TOLD_SLACK_MS + SLACK_MS:
-            self.told_too_much += 1
-            self.world.record.note(f"TOLD TOO MUCH: {request.call_id}: {told_ms} of {left_ms:.0f} ms left")
+        """Judge when an attempt begins, and answer after the work."""
+        closed_at = self.closed_at.get(request.call_id)
+        if closed_at is not None and request.received_at > closed_at + LIMIT_S + SLACK_S:
+            self.broken += 1
+            after_ms = (request.received_at - closed_at) * 1000
+            self.world.record.note(f"BROKEN: {request.call_id} began {after_ms:.0f} ms after its client went")
         await asyncio.sleep(WORK_S)
         writer.write(encode_answer(b"answer to " + request.call_id.encode()))
 
-    def write(self, client: Client, count: int) -> list[Sent]:
-        """Send requests at once; return them."""
-        burst = [Sent(new_id()) for _ in range(count)]
-        self.sent |= {sent.call_id: sent for sent in burst}
-        text = b"".join(encode_request("cuota", BUDGET_MS, sent.call_id, BODY) for sent in burst)
-        client.writer.write(text)
-        if client.writer.transport.get_write_buffer_size():
-            raise CannotRunError("the proxy's machine did not take all of a burst at once")
-        for sent in burst:
-            sent.written_at = time.monotonic()
-        return burst
-
-    async def judge(self, client: Client, sent: Sent) -> None:
-        """Read the answer to a request and count it if it came too late or not at all."""
+    async def visit(self, address: str) -> None:
+        """Send a batch at once, and go; without the disruption stay for the answers."""
+        ids = [new_id() for _ in range(BATCH_SIZE)]
+        text = b"".join(encode_request("cuota", BUDGET_MS, call_id, BODY) for call_id in ids)
+        if not disrupts():
+            client = await Client.open(address)
+            client.writer.write(text)
+            for _ in ids:
+                await client.read_answer()
+            client.close()
+            return
+        host, port = address.split(":")
+        sock = socket.create_connection((host, int(port)))
+        sock.setblocking(False)
         try:
-            result = str((await client.read_answer()).status)
-        except (asyncio.IncompleteReadError, ConnectionError) as error:
-            result = f"no answer, {type(error).__name__}"
-        late_ms = -sent.left_ms(time.monotonic())
-        is_lost = not result.isdigit() or late_ms > GRACE_MS + SLACK_MS
-        self.lost += is_lost
-        word = "LOST: " if is_lost else ""
-        self.world.record.note(f"{word}{sent.call_id}: {result}, {late_ms:.0f} ms after its time")
-
-
-async def visit(ledger: Ledger, address: str) -> None:
-    """Send all bursts on one connection, and read the answers beside that."""
-    client = await Client.open(address)
-    if not disrupts():  # the same requests, one at a time
-        for _ in range(BURSTS * BURST_SIZE):
-            (sent,) = ledger.write(client, 1)
-            await ledger.judge(client, sent)
-        return
-    unanswered: asyncio.Queue[Sent] = asyncio.Queue()
-
-    async def send() -> None:
-        for _ in range(BURSTS):
-            for sent in ledger.write(client, BURST_SIZE):
-                unanswered.put_nowait(sent)
-            await asyncio.sleep(BURST_INTERVAL_S)
-
-    async def receive() -> None:
-        for _ in range(BURSTS * BURST_SIZE):
-            await ledger.judge(client, await unanswered.get())
-
-    await asyncio.gather(send(), receive())
-    client.close()
+            async with asyncio.timeout(SEND_TIME_S):
+                await asyncio.get_running_loop().sock_sendall(sock, text)
+        except TimeoutError as error:
+            raise CannotRunError("the system did not take the batch at once") from error
+        finally:
+            sock.close()
+        self.closed_at |= dict.fromkeys(ids, time.monotonic())
+        self.world.record.note(f"a client of {len(ids)} requests, {len(text)} bytes, went")
+        await asyncio.sleep(PAUSE_S)
 
 
 async def play(world: World) -> int:
@@ -128,21 +93,25 @@
     ledger = Ledger(world)
     discovery = Discovery(world.record)
     await world.add(discovery)
-    for number in range(BACKENDS):
-        backend = Backend(f"s{number}", world.record, ledger.work)
+    backends = [Backend(f"s{number}", world.record, ledger.work) for number in range(BACKENDS)]
+    for backend in backends:
         await world.add(backend)
         discovery.publish(backend.entry())
     proxy = world.add_proxy(0, 1)
     proxy.write_config(discovery)
     await proxy.start()
-    await asyncio.gather(*(visit(ledger, proxy.address) for _ in range(CLIENTS)))
-    summary = f"{len(ledger.sent)} requests, lost {ledger.lost}, told too much {ledger.told_too_much}"
+    relay = ClientSideRelay(proxy.address, ONE_WAY_S)
+    await world.add(relay)
+    for _ in range(VISITS):
+        await ledger.visit(relay.address)
+    begun = sum(len(backend.begun) for backend in backends)
+    summary = f"{VISITS} clients, attempts {begun}, begun too long after the close {ledger.broken}"
     world.record.note(summary)
     print(summary)
-    if proxy.has_ended():
-        raise CannotRunError("the proxy ended")
-    return BROKEN if ledger.lost or ledger.told_too_much else HELD
+    if proxy.has_ended() or not begun:
+        raise CannotRunError("the proxy did not serve")
+    return BROKEN if ledger.broken else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play, 90.0))
+    sys.exit(run_case(FOLDER, play, 110.0))
