Pass on a request that can't be read as a value, not as a raised exception

The reader returned a RequestError for such a request, the pipeline kept it, and ClientConnection._dispatch raised it when its turn came. The raised exception refers to its traceback, that to the frames and _dispatch's frame to the exception: a cycle that only the garbage collector frees. The frames include that of data_received with all bytes of the last read, 128 KB on loopback.

Of one such connection the collector finds the frames _dispatch, _process, data_received with 127,973 bytes and buffer_updated, a traceback and the error.

Change: such a request is a value, FailedRequest, and is never raised.

--- a/dunecove/proxy/client_connection.py
+++ b/dunecove/proxy/client_connection.py
@@ -18,7 +18,7 @@
 from dunecove.proxy.disconnect_watcher import DisconnectWatcher
 from dunecove.proxy.engine import Engine
 from dunecove.proxy.http_limits import MAX_BODY_BYTES
-from dunecove.proxy.http_request import HttpRequest, RequestError, RequestReader
+from dunecove.proxy.http_request import FailedRequest, HttpRequest, RequestError, RequestReader
 from dunecove.proxy.memory_budget import MemoryAccount
 from dunecove.proxy.receive_buffer import ReceiveBuffer, ReceivedChunk
 from dunecove.proxy.request_pipeline import RequestPipeline, memory_bytes
@@ -423,23 +423,29 @@
 
     # Responses
 
-    def _dispatch(self, request: HttpRequest | RequestError) -> None:
+    def _dispatch(self, request: HttpRequest | FailedRequest) -> None:
         """Respond to a request directly, or pass it to the engine."""
+        if isinstance(request, FailedRequest):
+            self.keep_alive = False
+            self._reject(request.status)
+            return
+        self.keep_alive = request.keep_alive
+        if request.is_shed:
+            self._send_response(SHED_RESPONSE)
+            self.consecutive_errors = 0
+            return
         try:
-            if isinstance(request, RequestError):
-                self.keep_alive = False
-                raise request
-            self.keep_alive = request.keep_alive
-            if request.is_shed:
-                self._send_response(SHED_RESPONSE)
-            else:
-                self._route(request)
+            self._route(request)
             self.consecutive_errors = 0
         except RequestError as error:
-            self.consecutive_errors += 1
-            if self.consecutive_errors >= MAX_CONSECUTIVE_ERRORS:
-                self.keep_alive = False
-            self._send_response(ClientResponse(error.status))
+            self._reject(error.status)
+
+    def _reject(self, status: int) -> None:
+        """Respond with an error; the last one of a series closes the connection."""
+        self.consecutive_errors += 1
+        if self.consecutive_errors >= MAX_CONSECUTIVE_ERRORS:
+            self.keep_alive = False
+        self._send_response(ClientResponse(status))
 
     def _route(self, request: HttpRequest) -> None:
         """Respond to a readiness check, or pass the request to the engine; raise RequestError to reject."""
--- a/dunecove/proxy/http_request.py
+++ b/dunecove/proxy/http_request.py
@@ -32,6 +32,16 @@
         self.status = status
 
 
+class FailedRequest(NamedTuple):
+    """A request that could not be read, with the HTTP status to answer it; none is read after it.
+
+    It is no exception: one that is kept and raised later refers to the frames of its callers, and these to it
+    and to the bytes that were read, which only the garbage collector would free.
+    """
+
+    status: int
+
+
 class HttpRequest(NamedTuple):
     """A complete request, of which only the framing is validated."""
 
@@ -88,7 +98,7 @@
 
     def __init__(self) -> None:
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self._completed: list[HttpRequest | RequestError] = []
+        self._completed: list[HttpRequest | FailedRequest] = []
         self.has_failed = False
         self.is_mid_request = False  # a request has begun and is incomplete
         # The last fed bytes completed a head with `expect: 100-continue`, and no request before it.
@@ -108,8 +118,8 @@
         # Size of the current request on the wire, without bytes that were fed together with an earlier one.
         self.size_bytes = 0
 
-    def feed(self, data: bytes, arrived_at: float) -> list[HttpRequest | RequestError]:
-        """Parse bytes that arrived together; return the requests that they complete, and any error last."""
+    def feed(self, data: bytes, arrived_at: float) -> list[HttpRequest | FailedRequest]:
+        """Parse bytes that arrived together; return the requests that they complete, a failed one last."""
         assert self._parser is not None
         self.expects_continue = False
         self.arrived_at = arrived_at
@@ -130,12 +140,9 @@
         self._completed = []  # an idle connection must not keep the last body in memory
         return completed
 
-    def time_out(self) -> RequestError:
-        """Abandon the incomplete request; return the error for it."""
-        self.has_failed = True
-        self.is_mid_request = False
-        self._start_request()  # releases what was received of it
-        return RequestError(408)
+    def time_out(self) -> FailedRequest:
+        """Abandon the incomplete request."""
+        return self._end_stream(408)
 
     def memory_bytes(self) -> int:
         """Return how much memory the incomplete request takes up to its end, all of its body included."""
@@ -159,27 +166,27 @@
         """Return the part of `memory_bytes` that is for bytes still to come."""
         return 0 if self._is_shed else self.missing_body_bytes()
 
-    def shed(self) -> RequestError | None:
+    def shed(self) -> FailedRequest | None:
         """Discard the body of the incomplete request, for which there is no memory.
 
-        If its head is not complete, so that its end is unknown, abandon it and return the error for it.
+        If its head is not complete, so that its end is unknown, abandon it and return it as failed.
         """
         if self._is_head_complete:
             self._is_shed = True
             self._body = bytearray()
             return None
-        self.has_failed = True
-        self.is_mid_request = False
-        self._start_request()
-        return RequestError(503)
+        return self._end_stream(503)
 
     def _fail(self, status: int) -> None:
-        """End the stream with an error, unless an earlier error has ended it."""
+        """End the stream with a failed request, unless an earlier one has ended it."""
         if not self.has_failed:
-            self.has_failed = True
-            self.is_mid_request = False
-            self._completed.append(RequestError(status))
-            self._start_request()  # releases what was received of it
+            self._completed.append(self._end_stream(status))
+
+    def _end_stream(self, status: int) -> FailedRequest:
+        self.has_failed = True
+        self.is_mid_request = False
+        self._start_request()  # releases what was received of it
+        return FailedRequest(status)
 
     def close(self) -> None:
         """Release the parser, whose reference cycle with this reader would need the garbage collector."""
--- a/dunecove/proxy/request_pipeline.py
+++ b/dunecove/proxy/request_pipeline.py
@@ -7,7 +7,7 @@
 from math import inf
 
 from dunecove.proxy.http_limits import MESSAGE_OVERHEAD_BYTES
-from dunecove.proxy.http_request import HttpRequest, RequestError
+from dunecove.proxy.http_request import FailedRequest, HttpRequest
 
 MAX_PENDING = 2  # pending requests up to which parsing continues, whatever their size
 # Small requests are parsed further ahead, since their deadlines limit the time for the current request.
@@ -16,17 +16,17 @@
 
 
 class RequestPipeline:
-    """A first-in first-out queue of requests, ended by the error of an invalid one."""
+    """A first-in first-out queue of requests, of which only the last may have failed."""
 
     def __init__(self) -> None:
-        self._pending: deque[HttpRequest | RequestError] = deque()
+        self._pending: deque[HttpRequest | FailedRequest] = deque()
         self._size_bytes = 0
         self.memory_bytes = 0  # that the pending requests take
 
     def __len__(self) -> int:
         return len(self._pending)
 
-    def extend(self, requests: Iterable[HttpRequest | RequestError]) -> None:
+    def extend(self, requests: Iterable[HttpRequest | FailedRequest]) -> None:
         """Add requests behind the others."""
         for request in requests:
             self._pending.append(request)
@@ -34,7 +34,7 @@
             if isinstance(request, HttpRequest):
                 self._size_bytes += request.size_bytes()
 
-    def popleft(self) -> HttpRequest | RequestError:
+    def popleft(self) -> HttpRequest | FailedRequest:
         """Remove and return the first request; raise IndexError if there is none."""
         request = self._pending.popleft()
         self.memory_bytes -= memory_bytes(request)
@@ -60,6 +60,6 @@
         return min(deadlines, default=inf)
 
 
-def memory_bytes(request: HttpRequest | RequestError) -> int:
+def memory_bytes(request: HttpRequest | FailedRequest) -> int:
     """Return about how much memory a request takes."""
     return request.memory_bytes() if isinstance(request, HttpRequest) else MESSAGE_OVERHEAD_BYTES
--- a/tests/flood_clients.py
+++ b/tests/flood_clients.py
@@ -44,6 +44,10 @@
     return encode_request(b"/answer", body=body, headers=b"transfer-encoding: chunked\r\n")
 
 
+# One object for all clients and with the same ids, which nobody reads: the heads have too many headers.
+HEADERS_AT_ONCE = encode_request(b"/answer", headers=SHORT_HEADERS) * 200
+
+
 class Flood(NamedTuple):
     """What each client sends."""
 
@@ -57,6 +61,7 @@
     "bodies": Flood(lambda: encode_request(b"/answer", body=BODY), 200),
     "chunked": Flood(encode_chunked, 200),
     "headers": Flood(lambda: encode_request(b"/answer", headers=SHORT_HEADERS), 200),
+    "headers at once": Flood(lambda: HEADERS_AT_ONCE, 1),
     "endless head": Flood(lambda: b"POST /answer HTTP/1.1\r\n" + SHORT_HEADERS * 4, 1),
     "readiness": Flood(lambda: READINESS_CHECKS, sys.maxsize),
     "small": Flood(lambda: encode_request(b"/lookup"), 900),
--- a/tests/proxy/test_memory_pressure.py
+++ b/tests/proxy/test_memory_pressure.py
@@ -9,6 +9,7 @@
 import pytest
 
 from dunecove.limits import FREE_BYTES
+from dunecove.proxy import connection_slots
 from dunecove.proxy import listener as listener_module
 from dunecove.proxy.http_limits import MAX_HEADERS
 from dunecove.proxy.memory_budget import MemoryAccount, MemoryBudget
@@ -214,3 +215,46 @@
                 gc.enable()
 
     run(test())
+
+
+UNREADABLE = {
+    "too many headers": (431, b"POST /answer HTTP/1.1\r\n" + b"a: b\r\n" * 2900 + b"\r\n"),
+    "no request": (400, b"?" * 200_000),
+    "upgrade": (400, encode_request(body=LONG_BODY, upgrade="h2c", connection="upgrade")),
+    "body too long": (413, encode_request(content_length="70000") + LONG_BODY),
+    "incomplete head": (408, encode_request()[:60]),
+    "incomplete body": (408, encode_request(body=LONG_BODY)[:-1000]),
+    "unknown class": (404, encode_request("/unknown", body=LONG_BODY, connection="close")),
+}
+
+
+@pytest.mark.parametrize("unreadable", UNREADABLE)
+def test_connection_of_a_rejected_request_is_freed_without_the_garbage_collector(
+    unreadable: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Failure: the error for an unreadable request referred to its own traceback, and thus to all bytes read.
+
+    300 clients that sent heads of many short lines took a proxy of 32 MB over its limit within two seconds.
+    """
+    monkeypatch.setattr(connection_slots, "REQUEST_TIMEOUT_S", 0.1)
+    status, sent = UNREADABLE[unreadable]
+
+    async def reject(proxy: Proxy) -> weakref.ref[object]:
+        client = await proxy.client()
+        await wait_until(lambda: proxy.listener.slots.connections)
+        (connection,) = proxy.listener.slots.connections
+        client.writer.write(sent)
+        assert (await client.read_response()).status == status
+        client.close()
+        return weakref.ref(connection)
+
+    async def test() -> None:
+        async with run_proxy() as proxy:
+            gc.disable()
+            try:
+                reference = await reject(proxy)
+                await wait_until(lambda: reference() is None)
+            finally:
+                gc.enable()
+
+    run(test())
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -210,6 +210,7 @@
     "bodies": FloodCase("bodies", respond_shortly, "/answer", MIN_SERVED_FRACTION),
     "chunked": FloodCase("chunked", respond_shortly, "/answer", MIN_SERVED_FRACTION),
     "headers": FloodCase("headers", respond_shortly, "/answer", MIN_SERVED_FRACTION),
+    "headers at once": FloodCase("headers at once", respond_shortly, "/answer", MIN_SERVED_FRACTION),
     "endless head": FloodCase("endless head", respond_shortly, "/answer", MIN_SERVED_FRACTION),
     "readiness": FloodCase("readiness", respond_shortly, "/answer", MIN_SERVED_FRACTION),
     "small": FloodCase("small", respond_shortly, "/lookup", MIN_SERVED_FRACTION),
@@ -225,7 +226,7 @@
 OTHER_SIZES = [
     (memory_mb, sockets, flood)
     for memory_mb, sockets in ((32, 256), (96, 512), (192, 1024))
-    for flood in ("bodies", "headers")
+    for flood in ("bodies", "headers", "headers at once")
 ]
 
 
@@ -233,7 +234,10 @@
 def test_flood_neither_exceeds_the_memory_limit_nor_delays_ordinary_clients(
     tmp_path: Path, memory_mb: int, sockets: int, flood: str
 ) -> None:
-    """Failure: 120 clients that sent 200 requests at once took a proxy of 96 MiB over its memory limit."""
+    """Failure: 120 clients that sent 200 requests at once took a proxy of 96 MiB over its memory limit.
+
+    And 300 clients that sent 200 heads of many short lines at once took one of 32 MiB over its own.
+    """
 
     async def test() -> None:
         report = await play(tmp_path, memory_mb, sockets, FLOODS[flood])
