Begin no attempt behind input that may hide its client's close

Reading stopped at 4 KiB of unparsed input; the receive window filled, and the rest, with the end of the stream behind it, stayed at the client's host. POLLRDHUP tells an end that has arrived, so the look before each attempt saw nothing, and the reset that answers the first response comes a round trip later. Queued requests and retries on such a connection have the same cause.

Change: reading goes on while over 32 KiB are unread, for one connection up to an eighth of the request budget and while half of it is free; paused connections are looked at each 50 ms. If an end may still be hidden and could not have been seen for 50 ms, no attempt begins, first or further: the request is rejected (503 with Retry-After), or answered 504 if it may have run.

--- a/dunecove/policy/request_rules.py
+++ b/dunecove/policy/request_rules.py
@@ -23,6 +23,7 @@
     """Why an attempt is not allowed now."""
 
     CLIENT_DISCONNECTED = "client_disconnected"
+    CLIENT_UNKNOWN = "client_unknown"  # it may have disconnected, hidden behind its unread input
     ANSWERED = "answered"  # the request has its final response
     BACKEND_REMOVED = "backend_removed"  # or it is draining
     DEADLINE_EXCEEDED = "deadline_exceeded"  # of the attempt or the request
@@ -39,6 +40,7 @@
 EXPECTED_DENIALS = frozenset(
     (
         Denial.CLIENT_DISCONNECTED,
+        Denial.CLIENT_UNKNOWN,
         Denial.ANSWERED,
         Denial.BACKEND_REMOVED,
         Denial.DEADLINE_EXCEEDED,
--- a/dunecove/proxy/client_connection.py
+++ b/dunecove/proxy/client_connection.py
@@ -5,15 +5,15 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 from math import inf
 from typing import cast
 
 from dunecove.limits import FREE_BYTES
 from dunecove.policy.request_rules import RESPONSE_GRACE_MS, Violation, may_close_connection
 from dunecove.proxy.bounded_protocol import READ_BYTES, BoundedProtocol
-from dunecove.proxy.client_messages import ClientResponse
+from dunecove.proxy.client_messages import REJECTION, ClientResponse, ClientState
 from dunecove.proxy.clock import now_ms
+from dunecove.proxy.close_reason import CloseReason
 from dunecove.proxy.connection_slots import ConnectionSlots
 from dunecove.proxy.disconnect_watcher import DisconnectWatcher
 from dunecove.proxy.engine import Engine
@@ -23,38 +23,26 @@
 from dunecove.proxy.receive_buffer import ReceiveBuffer, ReceivedChunk
 from dunecove.proxy.request_pipeline import RequestPipeline, memory_bytes
 from dunecove.proxy.request_validator import RequestValidator
-from dunecove.proxy.socket_probe import has_unread_input, is_closed_by_peer, last_data_age_ms
+from dunecove.proxy.socket_probe import has_unread_input, probe_input
 from dunecove.proxy.telemetry import CounterName
+from dunecove.proxy.unread_input import UnreadInput
 
 PARSE_CHUNK_BYTES = 4096  # parsed at a time, so that a flood of requests is not parsed all at once
 # The same while there is no memory for more than one request: fewer of the shortest requests are in it.
 SCARCE_PARSE_CHUNK_BYTES = 256
+MAX_BUFFERED_FRACTION = 0.125  # of the budget for requests, that one connection may read ahead
 # Requests dispatched without a break: a flood of those that are answered at once must not delay others.
 MAX_DISPATCHES_PER_TURN = 8
 MAX_CONSECUTIVE_ERRORS = 8  # consecutive rejected requests after which a connection is closed
 LINGER_READ_TIMEOUT_S = 5.0  # time for a lingering client to read its last response
 MAX_LINGER_BYTES = 1024 * 1024  # received and discarded while lingering; any more abort the connection
 MAX_UNREAD_RESPONSE_BYTES = 2 * MAX_BODY_BYTES  # response bytes that a client may leave unread
-SHED_RESPONSE = ClientResponse(503, b"retry-after: 1\r\n")  # to a request for which there is no memory
 # Maximum time (ms) from the deadline of a pipelined request to its response: well within the grace period, in
 # which a late response is no violation.
 PIPELINED_GRACE_MS = RESPONSE_GRACE_MS / 2
 READY_PATH = b"/health/ready"
 
 
-class CloseReason(Enum):
-    """Why a connection was closed; counted as `close.<value>`."""
-
-    CLIENT = "client"  # closed, half-closed or reset by the client
-    ANSWERED = "answered"  # after the last response
-    REQUEST_TIMEOUT = "request_timeout"  # no complete request within the timeout
-    IDLE = "idle"
-    EVICTED = "evicted"  # in favor of a new connection
-    SHUTDOWN = "shutdown"
-    NOT_READING = "not_reading"  # the client does not read its responses
-    FLOOD = "flood"  # the client sent more than `MAX_LINGER_BYTES` after its last response
-
-
 @dataclass
 class ServerState:
     """State that all client connections share."""
@@ -104,10 +92,7 @@
         self.consecutive_errors = 0
         self.discarded_bytes = 0  # received while lingering
         self.close_reason: CloseReason | None = None
-        # Time, in ms of `now_ms`, since which input may be unread, because reading was paused or the last
-        # read was full; 0: none is.
-        self.paused_since = 0.0
-        self._accept_delayed_since = accept_delayed_since
+        self.unread_input = UnreadInput(accept_delayed_since)
         self._on_lost = on_lost
 
     # asyncio callbacks
@@ -158,10 +143,8 @@
             if self.discarded_bytes > MAX_LINGER_BYTES:
                 self.abort(CloseReason.FLOOD)
             return
-        arrived_at = self._arrival_time()
+        arrived_at = self.unread_input.arrival_time(self.transport, self.may_have_unread_input)
         self.buffer.append(data, arrived_at)
-        if self.may_have_unread_input:
-            self.paused_since = arrived_at
         self._process()
 
     # State
@@ -195,16 +178,19 @@
             return False
         return self.has_unsent_bytes() or has_unread_input(self.transport)
 
-    def close_if_disconnected(self) -> bool:
-        """Close the connection if the kernel reports that the client has disconnected; return whether it has.
+    def check_client(self) -> ClientState:
+        """Return the state of the client; close the connection if the kernel reports its disconnect.
 
         The event loop reports the disconnect later, or never while reading is paused.
         """
-        if not is_closed_by_peer(self.transport):
-            return False
-        self._abandon_requests()
-        self.close(CloseReason.CLIENT)
-        return True
+        state = probe_input(self.transport)
+        if state.is_closed:
+            self._abandon_requests()
+            self.close(CloseReason.CLIENT)
+            return ClientState.DISCONNECTED
+        if state.has_unread and self.unread_input.has_hidden_close_for_long(self.transport):
+            return ClientState.UNKNOWN
+        return ClientState.CONNECTED
 
     # Closing
 
@@ -279,23 +265,6 @@
 
     # Reading
 
-    def _arrival_time(self) -> float:
-        """Return when the bytes just read arrived at this host, in ms of `now_ms`.
-
-        They may have waited in the kernel while reading was paused or the connection was not accepted.
-        """
-        now = now_ms()
-        unread_since = self.paused_since or self._accept_delayed_since
-        if not unread_since:
-            return now
-        age_ms = last_data_age_ms(self.transport)
-        paused_since = self.paused_since
-        self.paused_since = 0.0
-        self._accept_delayed_since = 0.0
-        if age_ms is None:
-            return paused_since or now  # the earliest possible time if reading was paused
-        return max(unread_since, now - age_ms)
-
     def _process(self) -> None:
         """Dispatch the pending requests in order, and parse further ones while few are pending."""
         dispatches_left = MAX_DISPATCHES_PER_TURN
@@ -338,18 +307,35 @@
         else:
             self.server.slots.mark_idle(self)
 
+    def read_on(self) -> None:
+        """Read on although reading is paused, if unread input may hide a close and there is memory."""
+        if not self.is_closing and not self.transport.is_closing():
+            self._update_reading()
+
     def _update_reading(self) -> None:
         """Pause reading while enough is buffered or there is no memory, and resume it otherwise."""
-        max_buffered_bytes = PARSE_CHUNK_BYTES if self._budgets.requests.has_surplus() else 0
-        if len(self.buffer) > max_buffered_bytes or not self._has_memory:
-            self.paused_since = self.paused_since or now_ms()
+        if not self._may_read():
+            self.unread_input.mark_pending()
             self._pause_and_watch()
             return
         self.server.disconnect_watcher.unwatch(self)
-        if self.paused_since and not has_unread_input(self.transport):
-            self.paused_since = 0.0
+        if self.unread_input.pending_since and not has_unread_input(self.transport):
+            self.unread_input.mark_empty()
         self.resume_reading()
 
+    def _may_read(self) -> bool:
+        """Return whether to read more: little is buffered, or what is unread may hide the client's close."""
+        buffered_bytes = len(self.buffer)
+        if not buffered_bytes or not self._has_memory:
+            return self._has_memory
+        budget = self._budgets.requests
+        if not budget.has_surplus():
+            return False
+        if buffered_bytes <= PARSE_CHUNK_BYTES:
+            return True
+        max_buffered_bytes = budget.limit_bytes * MAX_BUFFERED_FRACTION
+        return buffered_bytes <= max_buffered_bytes and self.unread_input.may_hide_close(self.transport)
+
     def _pause_and_watch(self) -> None:
         self.pause_reading()
         self.server.disconnect_watcher.watch(self)
@@ -431,7 +417,7 @@
             return
         self.keep_alive = request.keep_alive
         if request.is_shed:
-            self._send_response(SHED_RESPONSE)
+            self._send_response(REJECTION)
             self.consecutive_errors = 0
             return
         try:
@@ -450,16 +436,19 @@
     def _route(self, request: HttpRequest) -> None:
         """Respond to a readiness check, or pass the request to the engine; raise RequestError to reject."""
         # The client may have disconnected while the request waited in the kernel or behind other requests.
-        if self.close_if_disconnected():
+        client_state = self.check_client()
+        if client_state is ClientState.DISCONNECTED:
             return
         if request.target.split(b"?", 1)[0] == READY_PATH:
             if request.method != b"GET":
                 raise RequestError(405)
             self._send_response(ClientResponse(200 if self.server.is_ready() else 503))
             return
-        validated = self.server.request_validator.validate(
-            request, self.on_response, self.close_if_disconnected
-        )
+        validated = self.server.request_validator.validate(request, self.on_response, self.check_client)
+        if client_state is ClientState.UNKNOWN:
+            self.server.engine.telemetry.count(CounterName.REQUEST_SHED, "client_unknown")
+            self._send_response(REJECTION)
+            return
         if not self.server.engine.requests.accept(validated):
             raise RequestError(400)
         self.request_id = validated.request_id
--- a/dunecove/proxy/client_messages.py
+++ b/dunecove/proxy/client_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum, auto
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -28,6 +29,18 @@
         )
 
 
+# To a request that the proxy rejects without asking the balancer.
+REJECTION = ClientResponse(503, b"retry-after: 1\r\n")
+
+
+class ClientState(Enum):
+    """What is known of a client at a moment."""
+
+    CONNECTED = auto()
+    DISCONNECTED = auto()
+    UNKNOWN = auto()  # a close may be hidden behind input that the kernel can't receive
+
+
 class ParsedRequest(NamedTuple):
     """A client's complete and valid request."""
 
@@ -41,5 +54,5 @@
     head: bytes  # request line and headers for the backend, without the final empty line
     body: bytes
     respond: Callable[[ClientResponse], None]
-    # Closes the connection if the client has disconnected, tells the engine, and returns whether it has.
-    close_if_disconnected: Callable[[], bool]
+    # Returns the state of the client; if it has disconnected, closes the connection and tells the engine.
+    check_client: Callable[[], ClientState]
--- a/dunecove/proxy/disconnect_watcher.py
+++ b/dunecove/proxy/disconnect_watcher.py
@@ -27,17 +27,25 @@
     def watch(self, connection: ClientConnection) -> None:
         """Start polling a connection."""
         self.paused.add(connection)
-        if self.poll_timer is None:
-            self.poll_timer = self._loop.call_later(DISCONNECT_POLL_INTERVAL_S, self.poll)
+        self._schedule_poll()
 
     def unwatch(self, connection: ClientConnection) -> None:
         """Stop polling a connection, if it is polled."""
         self.paused.discard(connection)
 
     def poll(self) -> None:
-        """Abort the connections whose clients have disconnected, with one system call for all connections."""
+        """Abort the connections whose clients have disconnected, with one system call for all connections.
+
+        The others read on if a disconnect may be hidden behind their unread input.
+        """
         self.poll_timer = None
         for transport in find_closed_by_peer(connection.transport for connection in self.paused):
             transport.abort()
+        for connection in list(self.paused):
+            connection.read_on()
         if self.paused:
+            self._schedule_poll()
+
+    def _schedule_poll(self) -> None:
+        if self.poll_timer is None:
             self.poll_timer = self._loop.call_later(DISCONNECT_POLL_INTERVAL_S, self.poll)
--- a/dunecove/proxy/listener.py
+++ b/dunecove/proxy/listener.py
@@ -7,8 +7,9 @@
 from typing import cast
 
 from dunecove.proxy.addresses import split_address
-from dunecove.proxy.client_connection import ClientConnection, CloseReason, ServerState
+from dunecove.proxy.client_connection import ClientConnection, ServerState
 from dunecove.proxy.clock import now_ms
+from dunecove.proxy.close_reason import CloseReason
 from dunecove.proxy.connection_slots import ConnectionSlots
 from dunecove.proxy.disconnect_watcher import DisconnectWatcher
 from dunecove.proxy.engine import Engine
--- a/dunecove/proxy/request_lifecycle.py
+++ b/dunecove/proxy/request_lifecycle.py
@@ -19,7 +19,7 @@
 )
 from dunecove.policy.settings import Settings
 from dunecove.proxy.attempt import Attempt
-from dunecove.proxy.client_messages import ClientResponse, ParsedRequest
+from dunecove.proxy.client_messages import REJECTION, ClientResponse, ClientState, ParsedRequest
 from dunecove.proxy.clock import now_ms
 from dunecove.proxy.connection_pool import ConnectionPool
 from dunecove.proxy.http_exchange import Response
@@ -248,30 +248,46 @@
     def _check_denial(self, request: OpenRequest, attempt_index: int) -> Denial | None:
         """Return why an attempt may not be written now, or None if it may.
 
-        A denial is recorded and, if unexpected, reported as a violation. Whether the client has disconnected
-        is queried from the kernel: the event loop may not have processed the close yet, or reading from the
-        connection may be paused.
+        A denial is recorded and, if unexpected, reported as a violation.
         """
-        denial: Denial | None
-        if request.is_finished:
-            denial = Denial.ANSWERED
-        elif request.parsed.close_if_disconnected():
-            denial = Denial.CLIENT_DISCONNECTED
-        else:
-            denial = attempt_denial(
-                self._settings,
-                self._settings.classes[request.parsed.class_index],
-                request.attempts[:attempt_index],
-                request.attempts[attempt_index],
-                now_ms(),
-            )
+        denial = self._find_denial(request, attempt_index)
         if denial is not None:
             request_id = request.parsed.request_id
             self._telemetry.record(request_id, RequestStage.ATTEMPT_DENIED, denial.value)
             if denial not in EXPECTED_DENIALS:
                 self._telemetry.report_violation(Violation.FORBIDDEN_ATTEMPT, request_id, denial.value)
+        if denial is Denial.CLIENT_UNKNOWN:
+            self._end_without_attempt(request, attempt_index, denial)
         return denial
 
+    def _find_denial(self, request: OpenRequest, attempt_index: int) -> Denial | None:
+        """Return why an attempt may not be written now, or None if it may.
+
+        Whether the client has disconnected is queried from the kernel: the event loop may not have processed
+        the close yet, or reading from the connection may be paused.
+        """
+        if request.is_finished:
+            return Denial.ANSWERED
+        client_state = request.parsed.check_client()
+        if client_state is ClientState.DISCONNECTED:
+            return Denial.CLIENT_DISCONNECTED
+        if client_state is ClientState.UNKNOWN:
+            return Denial.CLIENT_UNKNOWN
+        return attempt_denial(
+            self._settings,
+            self._settings.classes[request.parsed.class_index],
+            request.attempts[:attempt_index],
+            request.attempts[attempt_index],
+            now_ms(),
+        )
+
+    def _end_without_attempt(self, request: OpenRequest, attempt_index: int, denial: Denial) -> None:
+        """Send the final response to a request of which no further attempt may be written."""
+        request_class = self._settings.classes[request.parsed.class_index]
+        is_rejected = may_reject(request_class, request.attempts[:attempt_index])
+        self._respond(request, REJECTION if is_rejected else ClientResponse(504), denial)
+        self._abandon(request)
+
     def _final_response(self, request: OpenRequest, action: Reject | Fail) -> ClientResponse:
         if isinstance(action, Fail):
             return ClientResponse(504)
--- a/dunecove/proxy/request_validator.py
+++ b/dunecove/proxy/request_validator.py
@@ -8,7 +8,7 @@
 
 from dunecove.policy.models import Idempotency
 from dunecove.policy.settings import Settings
-from dunecove.proxy.client_messages import ClientResponse, ParsedRequest
+from dunecove.proxy.client_messages import ClientResponse, ClientState, ParsedRequest
 from dunecove.proxy.clock import now_ms
 from dunecove.proxy.http_request import BUDGET_MS_PATTERN, HttpRequest, RequestError
 from dunecove.wire.settings import ProxySettings
@@ -49,7 +49,7 @@
         self,
         request: HttpRequest,
         on_response: Callable[[ClientResponse], None],
-        close_if_disconnected: Callable[[], bool],
+        check_client: Callable[[], ClientState],
     ) -> ParsedRequest:
         """Return the request for the engine; raise RequestError with an HTTP status if it is invalid."""
         headers = dict(request.headers)
@@ -72,7 +72,7 @@
             head,
             request.body,
             on_response,
-            close_if_disconnected,
+            check_client,
         )
 
     def _find_class_index(self, request: HttpRequest, headers: dict[bytes, bytes]) -> int:
--- a/dunecove/proxy/socket_probe.py
+++ b/dunecove/proxy/socket_probe.py
@@ -3,21 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import termios
 from collections.abc import Iterable
+from typing import NamedTuple
 
 # The offset of tcpi_last_data_recv in Linux's struct tcp_info, and the size up to the end of that field.
 LAST_DATA_RECV_OFFSET = 52
 TCP_INFO_BYTES = 56
+INT_BYTES = 4  # size of the int that FIONREAD writes
+
+
+class InputState(NamedTuple):
+    """What the kernel reports of the input of a connection."""
+
+    is_closed: bool  # by the peer: closed, half-closed or reset
+    has_unread: bool  # bytes, or the end of the stream
+
+
+_QUIET = InputState(is_closed=False, has_unread=False)
 
 
 def has_unread_input(transport: asyncio.Transport) -> bool:
     """Return whether the kernel holds bytes, or the end of the stream, that the event loop has not read."""
     if transport.is_closing():
         return False  # its descriptor may already belong to another connection
-    return _poll(transport, select.POLLIN | select.POLLRDHUP)
+    return _poll(transport, select.POLLIN | select.POLLRDHUP) != 0
 
 
 def is_closed_by_peer(transport: asyncio.Transport) -> bool:
@@ -25,7 +39,17 @@
 
     A connection that is being closed on this side counts as closed too.
     """
-    return transport.is_closing() or _poll(transport, select.POLLRDHUP)
+    return transport.is_closing() or _poll(transport, select.POLLRDHUP) != 0
+
+
+def probe_input(transport: asyncio.Transport) -> InputState:
+    """Return both of the above with one system call."""
+    if transport.is_closing():
+        return InputState(is_closed=True, has_unread=False)
+    events = _poll(transport, select.POLLIN | select.POLLRDHUP)
+    if not events:
+        return _QUIET
+    return InputState(bool(events & ~select.POLLIN), bool(events & select.POLLIN))
 
 
 def find_closed_by_peer(transports: Iterable[asyncio.Transport]) -> list[asyncio.Transport]:
@@ -43,10 +67,22 @@
     return [by_fileno[fileno] for fileno, _ in poll.poll(0)]
 
 
-def _poll(transport: asyncio.Transport, events: int) -> bool:
+def _poll(transport: asyncio.Transport, events: int) -> int:
+    """Return those of the events that have occurred; errors and resets are reported in any case."""
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), events)
-    return bool(poll.poll(0))  # errors and resets are reported regardless of the mask
+    occurred = poll.poll(0)
+    return occurred[0][1] if occurred else 0
+
+
+def unread_bytes(transport: asyncio.Transport) -> int | None:
+    """Return how many received bytes the event loop has not read yet, or None if unknown."""
+    try:
+        result = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, bytes(INT_BYTES))
+    except OSError:
+        return None
+    (byte_count,) = struct.unpack("=i", result)
+    return int(byte_count)
 
 
 def last_data_age_ms(transport: asyncio.Transport) -> float | None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -16,10 +16,12 @@
 import uvloop
 
 from dunecove.config import read_config
+from dunecove.limits import FREE_BYTES
 from dunecove.proxy.client_connection import ClientConnection
 from dunecove.proxy.connection_pool import ConnectionPool
 from dunecove.proxy.engine import Engine
 from dunecove.proxy.listener import Listener
+from dunecove.proxy.memory_budget import MemoryAccount, MemoryBudget
 from dunecove.proxy.socket_probe import has_unread_input
 from dunecove.server import start
 
@@ -300,6 +302,14 @@
             server.close()
 
 
+def use_up(budget: MemoryBudget, left_bytes: int = 0) -> MemoryAccount:
+    """Return an account that holds all of a budget but `left_bytes`."""
+    budget.limit_bytes = 200_000
+    account = MemoryAccount(budget)
+    account.hold(FREE_BYTES + 200_000 - left_bytes)
+    return account
+
+
 async def connect_slow_reader(
     proxy: Proxy, send_buffer_bytes: int = 4096, shutting_down: bool = True
 ) -> Client:
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -41,6 +41,7 @@
 from dunecove.proxy import log_writer as log_writer_module
 from dunecove.proxy import request_pipeline as pipeline_module
 from dunecove.proxy import request_validator as request_validator_module
+from dunecove.proxy import unread_input as unread_input_module
 from dunecove.proxy.clock import now_ms
 from dunecove.proxy.socket_probe import has_unread_input, is_closed_by_peer
 from tests.loopback import (
@@ -672,9 +673,17 @@
     """The arrival time is used if the kernel reports it, otherwise the time at which reading was paused."""
     clock_offset_ms = [0.0]
     monkeypatch.setattr(
-        connection_module, "last_data_age_ms", lambda _: clock_offset_ms[0] if is_arrival_time_known else None
+        unread_input_module,
+        "last_data_age_ms",
+        lambda _: clock_offset_ms[0] if is_arrival_time_known else None,
     )
-    for module in (connection_module, listener_module, request_validator_module, slots_module):
+    for module in (
+        connection_module,
+        unread_input_module,
+        listener_module,
+        request_validator_module,
+        slots_module,
+    ):
         monkeypatch.setattr(module, "now_ms", lambda: now_ms() + clock_offset_ms[0])
     balancer.act = for_each(
         RequestArrived, lambda e: [Forward(e.request_id, "s0", 9000.0)] * (e.request_id == "c1")
@@ -697,7 +706,7 @@
                 await client.read_response()
             assert [e.request_id for e in events(RequestArrived)] == ["c1", "c2"]
             assert (
-                server_connection.paused_since == 0.0
+                server_connection.unread_input.pending_since == 0.0
                 and server_connection.reader.arrived_at < now_ms() + 2500.0
             )
 
--- a/tests/proxy/test_memory_pressure.py
+++ b/tests/proxy/test_memory_pressure.py
@@ -5,27 +5,28 @@
 import asyncio
 import gc
 import weakref
+from math import inf
 
 import pytest
 
 from dunecove.limits import FREE_BYTES
-from dunecove.proxy import connection_slots
+from dunecove.proxy import connection_slots, unread_input
 from dunecove.proxy import listener as listener_module
 from dunecove.proxy.http_limits import MAX_HEADERS
-from dunecove.proxy.memory_budget import MemoryAccount, MemoryBudget
-from tests.loopback import Client, Proxy, connect_slow_reader, encode_request, run, run_proxy, wait_until
+from tests.loopback import (
+    Client,
+    Proxy,
+    connect_slow_reader,
+    encode_request,
+    run,
+    run_proxy,
+    use_up,
+    wait_until,
+)
 
 LONG_BODY = b"x" * 60_000
 
 
-def use_up(budget: MemoryBudget, left_bytes: int = 0) -> MemoryAccount:
-    """Return an account that holds all of a budget but `left_bytes`."""
-    budget.limit_bytes = 200_000
-    account = MemoryAccount(budget)
-    account.hold(FREE_BYTES + 200_000 - left_bytes)
-    return account
-
-
 async def serve_one(proxy: Proxy, body: bytes = b"done") -> None:
     (await proxy.backends[0].requests.get()).respond(body)
 
@@ -77,8 +78,12 @@
     run(test())
 
 
-def test_pipelined_request_waits_for_memory_behind_an_unanswered_one() -> None:
+def test_pipelined_request_waits_for_memory_behind_an_unanswered_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Failure: each connection held the current request, two pending ones and 256 KiB of input."""
+    # The requests behind the first one stay in the kernel, where they would hide a close of the client.
+    monkeypatch.setattr(unread_input, "MAX_HIDDEN_MS", inf)
 
     async def test() -> None:
         async with run_proxy() as proxy:
