Keep the ids of requests that may have run, and forget none of them for another

RecentIds held each accepted id, and forgot the oldest for a new one at 5,120 (32 MB) or 20,000: some thousand small requests under new ids, of which no backend got any, were enough. An id was also forgotten 4 s after its arrival, not after the end of its request.

Change: ExecutedIds holds the ids of ended requests that a backend may have executed, for the longest deadline and 4 s at least after their end. If it is full, requests are rejected with 503 and Retry-After before the balancer sees them. Ids are kept as hashes in eight generations; the bound is 320 for each MB, 160 before.

--- a/dunecove/limits.py
+++ b/dunecove/limits.py
@@ -33,7 +33,7 @@
 # for copies that last no longer than one call, and for bookkeeping that grows with the rate of requests.
 CONTENT_FRACTION = 0.75
 MIN_CONTENT_BYTES = BYTES_PER_MB
-MAX_RECENT_IDS_PER_MB = 160
+MAX_EXECUTED_IDS_PER_MB = 320
 
 
 class ConnectionLimits(NamedTuple):
@@ -44,12 +44,12 @@
 
 
 class MemoryLimits(NamedTuple):
-    """What each use of memory may take, in bytes except for `recent_ids`."""
+    """What each use of memory may take, in bytes except for `executed_ids`."""
 
     requests: int  # content of unanswered requests beyond `FREE_BYTES` per connection
     responses: int  # content of responses that are received or unsent, beyond `FREE_BYTES` per connection
     endpoint_list: int  # the text of one endpoint list
-    recent_ids: int  # number of ids that are remembered
+    executed_ids: int  # number of ids of ended requests that are kept
 
 
 def connection_limits(max_descriptors: int, memory_mb: float) -> ConnectionLimits:
@@ -71,7 +71,7 @@
         requests=content // 2,
         responses=content // 2,
         endpoint_list=endpoint_list,
-        recent_ids=int(memory_mb * MAX_RECENT_IDS_PER_MB),
+        executed_ids=int(memory_mb * MAX_EXECUTED_IDS_PER_MB),
     )
 
 
--- a/dunecove/proxy/client_connection.py
+++ b/dunecove/proxy/client_connection.py
@@ -21,6 +21,7 @@
 from dunecove.proxy.http_request import FailedRequest, HttpRequest, RequestError, RequestReader
 from dunecove.proxy.memory_budget import MemoryAccount
 from dunecove.proxy.receive_buffer import ReceiveBuffer, ReceivedChunk
+from dunecove.proxy.request_lifecycle import Acceptance
 from dunecove.proxy.request_pipeline import RequestPipeline, memory_bytes
 from dunecove.proxy.request_validator import RequestValidator
 from dunecove.proxy.socket_probe import has_unread_input, probe_input
@@ -446,14 +447,21 @@
             return
         validated = self.server.request_validator.validate(request, self.on_response, self.check_client)
         if client_state is ClientState.UNKNOWN:
-            self.server.engine.telemetry.count(CounterName.REQUEST_SHED, "client_unknown")
-            self._send_response(REJECTION)
+            self._shed("client_unknown")
             return
-        if not self.server.engine.requests.accept(validated):
+        acceptance = self.server.engine.requests.accept(validated)
+        if acceptance is Acceptance.DUPLICATE_ID:
             raise RequestError(400)
+        if acceptance is Acceptance.TOO_MANY_IDS:
+            self._shed("request_ids")
+            return
         self.request_id = validated.request_id
         self._request_bytes = memory_bytes(request)
 
+    def _shed(self, resource: str) -> None:
+        self.server.engine.telemetry.count(CounterName.REQUEST_SHED, resource)
+        self._send_response(REJECTION)
+
     def on_response(self, response: ClientResponse) -> None:
         """Send the engine's response to the current request and dispatch the next one."""
         if self.request_id is not None:
--- a/dunecove/proxy/engine.py
+++ b/dunecove/proxy/engine.py
@@ -58,11 +58,11 @@
         seed: int,
         max_backend_connections: int,
         budgets: ContentBudgets | None = None,
-        max_recent_ids: float = inf,
+        max_executed_ids: float = inf,
     ) -> None:
         """Create an engine without backends; requires a running event loop.
 
-        `budgets` limit the content of messages (None: nothing does), `max_recent_ids` the remembered ids.
+        `budgets` limit the content of messages (None: nothing does), `max_executed_ids` the kept ids.
         """
         self.budgets = ContentBudgets.unlimited() if budgets is None else budgets
         self.telemetry = Telemetry()
@@ -74,7 +74,7 @@
             self.budgets.responses,
         )
         self.requests = RequestLifecycle(
-            settings, self.connection_pool, self.telemetry, self._raise_event, max_recent_ids
+            settings, self.connection_pool, self.telemetry, self._raise_event, max_executed_ids
         )
         self.cached_list_feed = CachedListFeed(self.connection_pool)
         self.discovery: DiscoveryClient | None = None
--- a/dunecove/proxy/request_lifecycle.py
+++ b/dunecove/proxy/request_lifecycle.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from enum import Enum, auto
 from math import inf
 
 from dunecove.policy.actions import CancelAttempt, EndReason, Fail, Forward, Reject
@@ -23,13 +24,21 @@
 from dunecove.proxy.clock import now_ms
 from dunecove.proxy.connection_pool import ConnectionPool
 from dunecove.proxy.http_exchange import Response
-from dunecove.proxy.request_registry import OpenRequest, RecentIds
+from dunecove.proxy.request_registry import ExecutedIds, OpenRequest
 from dunecove.proxy.telemetry import CounterName, RequestStage, ResponseReason, Telemetry
 
 # Headers that a client needs to read a body; all others concern only the proxy and the backend.
 _FORWARDED_RESPONSE_HEADERS = (b"content-type", b"content-encoding", b"content-language")
 
 
+class Acceptance(Enum):
+    """Whether a request was accepted, and if not, why."""
+
+    ACCEPTED = auto()
+    DUPLICATE_ID = auto()
+    TOO_MANY_IDS = auto()  # that must be kept, so that the request could be executed twice
+
+
 class RequestLifecycle:
     """The open requests. Each gets exactly one response, by its deadline, unless its client disconnects."""
 
@@ -39,12 +48,12 @@
         connection_pool: ConnectionPool,
         telemetry: Telemetry,
         raise_event: Callable[[Event], None],
-        max_recent_ids: float = inf,
+        max_executed_ids: float = inf,
     ) -> None:
         """Create an empty registry of requests; `raise_event` queues an event for the balancer."""
         self.open: dict[str, OpenRequest] = {}  # by request id
         self.max_deadline_ms = max(request_class.deadline_ms for request_class in settings.classes)
-        self.recent_ids = RecentIds(self.max_deadline_ms, max_recent_ids)
+        self.executed_ids = ExecutedIds(self.max_deadline_ms, max_executed_ids)
         self._settings = settings
         self._connection_pool = connection_pool
         self._telemetry = telemetry
@@ -55,17 +64,18 @@
 
     # Input from the client
 
-    def accept(self, parsed: ParsedRequest) -> bool:
-        """Register a request and pass it to the balancer.
+    def accept(self, parsed: ParsedRequest) -> Acceptance:
+        """Register a request and pass it to the balancer, unless its id is known or no id can be kept.
 
-        Return False if its id is in use or was used recently, since an id must identify one request.
+        An id must identify one request: a backend could execute it twice, or deduplicate another client's.
         """
-        self.recent_ids.expire()
+        self.executed_ids.expire()
         request_id = parsed.request_id
-        if request_id in self.recent_ids or request_id in self.open:
+        if request_id in self.executed_ids or request_id in self.open:
             self._telemetry.count(CounterName.DUPLICATE_REQUEST_ID)
-            return False
-        self.recent_ids.add(request_id)
+            return Acceptance.DUPLICATE_ID
+        if self.executed_ids.is_full():
+            return Acceptance.TOO_MANY_IDS
         # Capped by the deadline of the class: the balancer recognises retries by how much less time they have
         # left than the longest remaining time seen in their class, which a single client must not raise.
         budget_ms = min(parsed.budget_ms, self._settings.classes[parsed.class_index].deadline_ms)
@@ -74,7 +84,7 @@
         self._telemetry.record(request_id, RequestStage.ACCEPTED)
         if self._rejects_new:
             self._loop.call_soon(self._reject_at_shutdown, request)
-            return True
+            return Acceptance.ACCEPTED
         request.deadline_timer = self._loop.call_later(max(budget_ms, 0.0) / 1000, self._on_deadline, request)
         self._raise_event(
             RequestArrived(
@@ -87,7 +97,7 @@
                 parsed.work_hint_ms,
             )
         )
-        return True
+        return Acceptance.ACCEPTED
 
     def client_disconnected(self, request_id: str) -> None:
         """End a request whose client has disconnected."""
@@ -167,6 +177,11 @@
             request_id = request.parsed.request_id
             if self.open.get(request_id) is request and not request.has_open_attempts():
                 del self.open[request_id]
+                self._keep_executed_id(request)
+
+    def _keep_executed_id(self, request: OpenRequest) -> None:
+        if request.may_have_executed():
+            self.executed_ids.add(request.parsed.request_id)
 
     # Failure of the balancer, and shutdown
 
@@ -179,6 +194,7 @@
         for request in failed.values():
             for attempt in request.attempts:
                 self._connection_pool.cancel(attempt)
+            self._keep_executed_id(request)
             if not request.is_finished:
                 self._respond(request, ClientResponse(500), ResponseReason.BALANCER_FAILED)
 
--- a/dunecove/proxy/request_registry.py
+++ b/dunecove/proxy/request_registry.py
@@ -1,16 +1,19 @@
-"""Open requests and the ids of recent requests."""
+"""Open requests and the ids of ended requests that may have been executed."""
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from math import inf
 
+from dunecove.policy.request_rules import first_executed_attempt
 from dunecove.proxy.attempt import Attempt
 from dunecove.proxy.client_messages import ParsedRequest
 from dunecove.proxy.clock import now_ms
 
 MIN_ID_RETENTION_MS = 4000.0  # assumed longest wait of a client, unless a class has a longer deadline
-MAX_RECENT_IDS = 20_000
+MAX_EXECUTED_IDS = 20_000
+GENERATIONS = 8  # in which the ids of one retention time are kept
 
 
 class OpenRequest:
@@ -36,36 +39,57 @@
         """Return whether any attempt has no result yet."""
         return not all(attempt.has_ended for attempt in self.attempts)
 
+    def may_have_executed(self) -> bool:
+        """Return whether a backend may have executed the request."""
+        return first_executed_attempt(self.attempts) is not None
 
-class RecentIds:
-    """The ids of recent requests, so that an id is not reused while its first request may be open."""
+
+class ExecutedIds:
+    """The ids of ended requests that a backend may have executed, so that none of them is executed again.
+
+    They are kept in generations of equal length, so that expiry costs little.
+    """
 
     def __init__(self, max_deadline_ms: float, max_count: float = inf) -> None:
-        """Keep each id for at least the longest deadline, in ms, unless there are too many.
+        """Keep each id for at least the longest deadline, in ms, after its request has ended.
 
-        That is over `max_count` or `MAX_RECENT_IDS`.
+        `max_count` and `MAX_EXECUTED_IDS` are the number of ids at which the table is full.
         """
         self._max_count = max_count
         self._retention_ms = max(MIN_ID_RETENTION_MS, max_deadline_ms)
-        self._arrivals: dict[str, float] = {}  # arrival time by request id, oldest first
+        self._generations: deque[_Generation] = deque()  # oldest first
 
     def __contains__(self, request_id: str) -> bool:
-        return request_id in self._arrivals
+        key = hash(request_id)
+        return any(key in generation.keys for generation in self._generations)
 
     def __len__(self) -> int:
-        return len(self._arrivals)
+        return sum(len(generation.keys) for generation in self._generations)
+
+    def is_full(self) -> bool:
+        """Return whether no id may be added, since none that is kept may be forgotten yet."""
+        return len(self) >= min(self._max_count, MAX_EXECUTED_IDS)
 
     def add(self, request_id: str) -> None:
-        """Add the id of a request that has just arrived."""
-        self._arrivals[request_id] = now_ms()
+        """Add the id of a request that has just ended."""
+        now = now_ms()
+        if not self._generations or now >= self._generations[-1].began_at + self._generation_ms():
+            self._generations.append(_Generation(now))
+        self._generations[-1].keys.add(hash(request_id))
 
     def expire(self) -> None:
-        """Remove ids past their retention time, and the oldest ones if there are too many."""
-        max_count = min(self._max_count, MAX_RECENT_IDS)
-        expired_before = now_ms() - self._retention_ms
-        while self._arrivals:
-            oldest = next(iter(self._arrivals))
-            is_recent = self._arrivals[oldest] > expired_before
-            if is_recent and len(self._arrivals) < max_count:
-                break
-            del self._arrivals[oldest]
+        """Remove ids past their retention time."""
+        expired_before = now_ms() - self._retention_ms - self._generation_ms()
+        while self._generations and self._generations[0].began_at < expired_before:
+            self._generations.popleft()
+
+    def _generation_ms(self) -> float:
+        return self._retention_ms / GENERATIONS
+
+
+class _Generation:
+    """The ids of requests that ended within one part of the retention time."""
+
+    def __init__(self, began_at: float) -> None:
+        self.began_at = began_at  # ms of `now_ms`
+        self.keys: set[int] = set()  # hashes of ids: their text would take several times the memory
--- a/dunecove/server.py
+++ b/dunecove/server.py
@@ -46,7 +46,7 @@
     memory = memory_limits(config.memory_mb, limits)
     budgets = ContentBudgets(MemoryBudget(memory.requests), MemoryBudget(memory.responses))
     engine = Engine(
-        config.settings, config.proxy_settings, config.seed, limits.backends, budgets, memory.recent_ids
+        config.settings, config.proxy_settings, config.seed, limits.backends, budgets, memory.executed_ids
     )
     engine.load_cached_list(config.cached_list)
     engine.discovery = DiscoveryClient(
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -12,6 +12,8 @@
 from dunecove.proxy import connection_slots as slots_module
 from dunecove.proxy import request_registry as request_registry_module
 from dunecove.proxy.client_messages import ClientResponse
+from dunecove.proxy.endpoint_list import EndpointListUpdate
+from dunecove.proxy.request_registry import ExecutedIds
 from tests.loopback import Client, Proxy, encode_request, run, run_proxy, send_unread, wait_until
 
 
@@ -462,21 +464,71 @@
     run(test())
 
 
-def test_number_of_recent_ids_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(request_registry_module, "MAX_RECENT_IDS", 3)
+async def serve(proxy: Proxy, client: Client, request_id: str) -> None:
+    client.send(x_call_id=request_id)
+    (await proxy.backends[0].requests.get()).respond()
+    assert (await client.read_response()).status == 200
+
+
+def test_ids_are_kept_and_requests_rejected_when_no_further_id_can_be_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: the oldest id was forgotten for a new one, so that its request could be executed again."""
+    monkeypatch.setattr(request_registry_module, "MAX_EXECUTED_IDS", 3)
 
     async def test() -> None:
         async with run_proxy() as proxy:
             client = await proxy.client()
+            for number in range(3):
+                await serve(proxy, client, f"c{number}")
+            await wait_until(lambda: len(proxy.engine.requests.executed_ids) == 3)
+            for number in range(3, 9):
+                rejected = await client.exchange(x_call_id=f"c{number}")
+                assert rejected.status == 503 and "retry-after" in rejected.headers
+            assert len(proxy.engine.requests.executed_ids) == 3
+            for number in range(3):
+                assert (await client.exchange(x_call_id=f"c{number}")).status == 400
+            assert proxy.backends[0].requests.empty()
+
+    run(test())
+
+
+def test_id_of_a_request_whose_client_left_is_not_forgotten_for_ids_that_were_never_executed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: after some thousand other ids the same id was executed twice."""
+    monkeypatch.setattr(request_registry_module, "MAX_EXECUTED_IDS", 3)
+
+    async def test() -> None:
+        async with run_proxy() as proxy:
+            first, second = await proxy.client(), await proxy.client()
+            first.send(x_call_id="c1")
+            await proxy.backends[0].requests.get()
+            first.close()
+            await wait_until(lambda: not proxy.engine.requests.open)
+            proxy.engine.on_list_update(EndpointListUpdate(revision=2, is_snapshot=True, endpoints=()))
             for number in range(9):
-                client.send(x_call_id=f"c{number}")
-                (await proxy.backends[0].requests.get()).respond()
-                assert (await client.read_response()).status == 200
-            assert len(proxy.engine.requests.recent_ids) == 3
+                without_backend = await second.exchange(x_call_id=f"other{number}", x_budget_ms="20")
+                assert without_backend.status == 504
+            assert (await second.exchange(x_call_id="c1")).status == 400
 
     run(test())
 
 
+def test_executed_id_is_kept_for_the_retention_time_after_its_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    time = [1000.0]
+    monkeypatch.setattr(request_registry_module, "now_ms", lambda: time[0])
+    ids = ExecutedIds(max_deadline_ms=8000.0)
+    for number in range(16):
+        ids.add(f"c{number}")
+        time[0] += 1000.0
+        ids.expire()
+    assert [f"c{number}" in ids for number in range(16)] == [False] * 7 + [True] * 9
+    time[0] += 20_000.0
+    ids.expire()
+    assert len(ids) == 0
+
+
 def test_connection_is_closed_after_consecutive_errors() -> None:
     async def test() -> None:
         async with run_proxy() as proxy:
@@ -740,11 +792,7 @@
     run(test())
 
 
-def test_request_with_the_id_of_an_open_request_is_rejected_even_if_the_id_is_not_recent(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(request_registry_module, "MAX_RECENT_IDS", 1)
-
+def test_request_with_the_id_of_an_open_request_is_rejected_even_if_the_id_is_not_recent() -> None:
     async def test() -> None:
         async with run_proxy() as proxy:
             first, second = await proxy.client(), await proxy.client()
@@ -754,7 +802,7 @@
                 second.send(x_call_id=f"other{number}")
                 (await proxy.backends[0].requests.get()).respond()
                 assert (await second.read_response()).status == 200
-            assert "c1" not in proxy.engine.requests.recent_ids
+            assert "c1" not in proxy.engine.requests.executed_ids
             assert (await second.exchange(x_call_id="c1")).status == 400
             received.respond(b"its own")
             assert (await first.read_response()).body == b"its own"
