Play floods of slow, half and unsound requests, and close between requests in the tests

Eight more floods in test_memory_limits.py, at 32 MB with 1,024 descriptors: hundreds of clients that stop half way through a body or a head, send 95 short fields and stop, or write bodies, chunks and fields slowly; and one client that sends small or unsound requests at full speed, under ever new ids, classes, tenants and header names.

The ordinary clients of these tests took any close for a fault. As strict: a close with part of a response, a second close, or a violation that the program logs of an ordinary request fails the test; the time counts from the first sending. A test that fails ends its program now.

--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -33,6 +33,7 @@
 PAUSE_S = 0.1  # between a response and the next request of an ordinary client
 BUDGET_MS = 3000
 GRACE_S = 0.55  # after the budget; a later response counts as lost
+ORDINARY_VIOLATION = re.compile(r"violation: .*request [0-9]+-[0-9]+:")
 FLOOD_S = 3.0
 MEMORY_SAMPLE_S = 0.005
 MIN_SERVED_FRACTION = 0.5  # of the requests of ordinary clients
@@ -49,6 +50,7 @@
     respond: Respond
     path: str  # of the flood's requests
     min_served: float = 0.0  # fraction of the requests of ordinary clients
+    max_clients: int = sys.maxsize  # of the flood
 
 
 class Backend:
@@ -118,6 +120,7 @@
     peak_mb: float
     served: float  # fraction of the requests
     longest_s: float  # from request to response
+    violations: list[str]  # of ordinary requests, logged by the program
 
 
 def private_memory_mb(pid: int) -> float:
@@ -127,6 +130,12 @@
     return int(match[1]) * 1024 / BYTES_PER_MB
 
 
+async def exchange(client: Client, request_id: str) -> int:
+    """Send an ordinary request and return the status of its response."""
+    client.send("/answer/ordinary", body=b"x" * 200, x_call_id=request_id, x_budget_ms=str(BUDGET_MS))
+    return (await client.read_response()).status
+
+
 class OrdinaryClients:
     """Clients that send one request after the other on kept connections."""
 
@@ -138,14 +147,18 @@
     async def _run(self, address: str, client_number: int) -> None:
         client = await Client.open(address)
         for number in count():
+            request_id = f"{client_number}-{number}"
             sent_at = time.monotonic()
-            client.send(
-                "/answer/ordinary",
-                body=b"x" * 200,
-                x_call_id=f"{client_number}-{number}",
-                x_budget_ms=str(BUDGET_MS),
-            )
-            self.statuses.append((await client.read_response()).status)
+            try:
+                status = await exchange(client, request_id)
+            except (asyncio.IncompleteReadError, ConnectionError) as error:
+                # A proxy may close a connection between two requests. The client then sends the request that
+                # crossed the close once more; if the proxy had read it, it reports a violation.
+                if isinstance(error, asyncio.IncompleteReadError) and error.partial:
+                    raise
+                client = await Client.open(address)
+                status = await exchange(client, request_id)
+            self.statuses.append(status)
             self.durations_s.append(time.monotonic() - sent_at)
             await asyncio.sleep(PAUSE_S)
 
@@ -174,21 +187,32 @@
     program, address = await start_program(write_configuration(folder, config))
     peak_mb = [0.0]
     sampling = asyncio.create_task(sample_memory(program.pid, peak_mb))
-    ordinary = OrdinaryClients(address)
-    clients = sockets // 3 - ORDINARY_CLIENTS
-    flooding = await asyncio.create_subprocess_exec(
-        *FLOOD_COMMAND, case.clients, *address.split(":"), str(clients), str(FLOOD_S)
-    )
-    await flooding.wait()
-    sampling.cancel()
-    await ordinary.stop()
-    assert program.returncode is None
-    program.kill()
-    await program.wait()
-    for backend in backends:
-        backend.server.close()
+    try:
+        ordinary = OrdinaryClients(address)
+        clients = min(sockets // 3 - ORDINARY_CLIENTS, case.max_clients)
+        flooding = await asyncio.create_subprocess_exec(
+            *FLOOD_COMMAND, case.clients, *address.split(":"), str(clients), str(FLOOD_S)
+        )
+        await flooding.wait()
+        await ordinary.stop()
+        assert program.returncode is None
+    finally:
+        sampling.cancel()
+        violations = await end_program(program)
+        for backend in backends:
+            backend.server.close()
     served = ordinary.statuses.count(200) / len(ordinary.statuses)
-    return Report(peak_mb[0], served, max(ordinary.durations_s))
+    return Report(peak_mb[0], served, max(ordinary.durations_s), violations)
+
+
+async def end_program(program: asyncio.subprocess.Process) -> list[str]:
+    """Kill the program, if it still runs; return the violations of ordinary requests that it has logged."""
+    if program.returncode is None:
+        program.kill()
+    assert program.stderr is not None
+    logged = (await program.stderr.read()).decode()
+    await program.wait()
+    return [line for line in logged.splitlines() if ORDINARY_VIOLATION.search(line)]
 
 
 async def start_program(environment: dict[str, str]) -> tuple[asyncio.subprocess.Process, str]:
@@ -216,6 +240,14 @@
     "small": FloodCase("small", respond_shortly, "/lookup", MIN_SERVED_FRACTION),
     "long responses": FloodCase("small", respond_long, "/lookup", MIN_SERVED_FRACTION),
     "unread responses": FloodCase("unread", respond_long, "/lookup", MIN_SERVED_FRACTION),
+    "half bodies": FloodCase("half bodies", respond_shortly, "/answer", MIN_SERVED_FRACTION),
+    "half heads": FloodCase("half heads", respond_shortly, "/answer", MIN_SERVED_FRACTION),
+    "many fields": FloodCase("many fields", respond_shortly, "/answer", MIN_SERVED_FRACTION),
+    "slow bodies": FloodCase("slow bodies", respond_shortly, "/answer", MIN_SERVED_FRACTION),
+    "slow chunks": FloodCase("slow chunks", respond_shortly, "/answer", MIN_SERVED_FRACTION),
+    "slow fields": FloodCase("slow fields", respond_shortly, "/answer", MIN_SERVED_FRACTION),
+    "one client, small": FloodCase("endless small", respond_shortly, "/lookup", MIN_SERVED_FRACTION, 1),
+    "one client, unsound": FloodCase("endless unsound", respond_shortly, "/lookup", MIN_SERVED_FRACTION, 1),
     # The backends themselves hang in the following ones, so ordinary requests may be rejected.
     "half responses": FloodCase("small", respond_half, "/lookup"),
     "response headers": FloodCase("small", respond_with_short_headers, "/lookup"),
@@ -243,6 +275,7 @@
         report = await play(tmp_path, memory_mb, sockets, FLOODS[flood])
         print(report)
         assert report.peak_mb < memory_mb
+        assert report.violations == []
         assert report.longest_s < BUDGET_MS / 1000 + GRACE_S
         assert report.served >= FLOODS[flood].min_served
 
